--- /dev/null
+++ b/adapters/backend/http/http.go
@@ -0,0 +1,185 @@
+// Package http sends requests to backend servers over HTTP/1.1.
+package http
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/retry"
+)
+
+// Headers between sequoiaspan and its users.
+const (
+	OutcomeHeader  = "Sequoiaspan-Outcome"
+	ReasonHeader   = "Sequoiaspan-Reason"
+	DeadlineHeader = "Sequoiaspan-Deadline"
+	StateHeader    = "Sequoiaspan-State" // a backend server's word that it is leaving
+	TeamHeader     = "Sequoiaspan-Team"
+	KeyHeader      = "Idempotency-Key"
+
+	StateLeaving = "leaving"
+)
+
+// Connection handling.
+const (
+	dialTimeout    = time.Second
+	idleTimeout    = 5 * time.Second
+	idlePerServer  = 2
+	keepAliveIdle  = 5 * time.Second
+	keepAliveEvery = 2 * time.Second
+	keepAliveCount = 3
+	headerBytes    = 64 << 10
+	expectTimeout  = time.Second
+	probePath      = "/health"
+	probeBytes     = 4 << 10
+)
+
+// Options of one attempt.
+type Options struct {
+	Address netip.AddrPort
+	Fresh   bool // use a new connection and close it afterwards
+}
+
+// Progress tells how far an attempt has come; it is safe for concurrent use.
+type Progress struct {
+	mu     sync.Mutex
+	wrote  bool
+	reused bool
+	sentAt time.Time
+}
+
+// Wrote reports whether a byte of the request may have left for the server.
+func (progress *Progress) Wrote() bool {
+	progress.mu.Lock()
+	defer progress.mu.Unlock()
+	return progress.wrote
+}
+
+// Reused reports whether the connection had carried a request before.
+func (progress *Progress) Reused() bool {
+	progress.mu.Lock()
+	defer progress.mu.Unlock()
+	return progress.reused
+}
+
+// SentAt returns when a connection was at hand, or the zero time.
+func (progress *Progress) SentAt() time.Time {
+	progress.mu.Lock()
+	defer progress.mu.Unlock()
+	return progress.sentAt
+}
+
+func (progress *Progress) connected(reused bool) {
+	progress.mu.Lock()
+	defer progress.mu.Unlock()
+	progress.wrote, progress.reused, progress.sentAt = true, reused, time.Now()
+}
+
+// Backend sends requests to backend servers; the zero value works.
+type Backend struct {
+	once  sync.Once
+	kept  *http.Transport // connections stay open for a while
+	fresh *http.Transport // one request a connection
+}
+
+func (backend *Backend) init() {
+	backend.kept = newTransport()
+	backend.fresh = newTransport()
+	backend.fresh.DisableKeepAlives = true
+}
+
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount,
+	}}
+	return &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: idlePerServer,
+		MaxResponseHeaderBytes: headerBytes, ExpectContinueTimeout: expectTimeout,
+	}
+}
+
+// Send sends the request and returns the answer once its header is there.
+//
+// The transport's own retries are kept off: a request is written to one connection only.
+func (backend *Backend) Send(request *http.Request, options Options, progress *Progress) (*http.Response, error) {
+	backend.once.Do(backend.init)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { progress.connected(info.Reused) }}
+	out := request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	out.URL = &url.URL{Scheme: "http", Host: options.Address.String(), Opaque: request.URL.Opaque,
+		Path: request.URL.Path, RawPath: request.URL.RawPath, RawQuery: request.URL.RawQuery, ForceQuery: request.URL.ForceQuery}
+	out.RequestURI = ""
+	preventReplay(out)
+	if options.Fresh {
+		return backend.fresh.RoundTrip(out)
+	}
+	return backend.kept.RoundTrip(out)
+}
+
+// preventReplay makes the request one that net/http's transport does not send again by itself.
+//
+// The transport replays requests without a body or with GetBody whose method is idempotent or that have an
+// idempotency key in canonical spelling (net/http, Request.isReplayable). Header names are
+// case-insensitive, so the lower-case spelling means the same to the server.
+func preventReplay(request *http.Request) {
+	request.GetBody = nil
+	if request.Body == nil || request.Body == http.NoBody {
+		switch request.Method {
+		case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+			request.Body = io.NopCloser(eofReader{})
+		}
+	}
+	for _, name := range []string{KeyHeader, "X-" + KeyHeader} {
+		if values, found := request.Header[name]; found {
+			delete(request.Header, name)
+			request.Header[lowerCase[name]] = values
+		}
+	}
+}
+
+var lowerCase = map[string]string{KeyHeader: "idempotency-key", "X-" + KeyHeader: "x-idempotency-key"}
+
+type eofReader struct{}
+
+func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+// RefusedUnrun reports whether the server says that it did not run the request.
+func RefusedUnrun(response *http.Response) bool {
+	return response.StatusCode >= 400 && response.Header.Get(OutcomeHeader) == string(retry.NotRun)
+}
+
+// Leaving reports whether the server says that it is leaving.
+func Leaving(response *http.Response) bool {
+	return response.Header.Get(StateHeader) == StateLeaving
+}
+
+// Probe checks a server's health on a new connection.
+func (backend *Backend) Probe(ctx context.Context, address netip.AddrPort) (healthy, leaving bool) {
+	backend.once.Do(backend.init)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+probePath, nil)
+	if err != nil {
+		return false, false
+	}
+	response, err := backend.fresh.RoundTrip(request)
+	if err != nil {
+		return false, false
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, probeBytes))
+	leaving = Leaving(response)
+	return err == nil && response.StatusCode == http.StatusOK && !leaving, leaving
+}
+
+// Close closes idle connections.
+func (backend *Backend) Close() {
+	backend.once.Do(backend.init)
+	backend.kept.CloseIdleConnections()
+	backend.fresh.CloseIdleConnections()
+}
--- /dev/null
+++ b/adapters/caller/http/forward.go
@@ -0,0 +1,254 @@
+package http
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	backend "github.com/sequoiaspan/sequoiaspan/adapters/backend/http"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+// Copying of answers.
+const (
+	copyBytes  = 32 << 10
+	writeStall = 2 * time.Minute // a caller that takes nothing for so long is given up
+)
+
+var buffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+var (
+	errStalled     = errors.New("the answer's body stalled")
+	errCaller      = errors.New("the caller stopped taking the answer")
+	errNotResumed  = errors.New("the answer could not be resumed")
+	errNoMoreTries = errors.New("no attempts are left")
+)
+
+// forward passes a backend server's answer on, whole or visibly broken.
+func (x *exchange) forward(a *attempt) {
+	response := a.response
+	copyHeader(x.w.Header(), response.Header)
+	x.w.Header().Del(backend.StateHeader)
+	announceTrailers(x.w.Header(), response)
+	x.w.WriteHeader(response.StatusCode)
+	download := &download{exchange: x, attempt: a, flushAlways: response.ContentLength < 0}
+	err := download.run()
+	if err != nil {
+		x.handler.Log.Info("caller: an answer was broken off", zap.String("backend-server", a.grant.Server), zap.Error(err))
+		// The connection is cut, so that the caller sees that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	copyTrailers(x.w.Header(), download.attempt.response)
+}
+
+// passOn passes on the refusal of a backend server whose grant has ended.
+func (x *exchange) passOn(a *attempt) {
+	defer a.cancel()
+	defer a.response.Body.Close()
+	copyHeader(x.w.Header(), a.response.Header)
+	x.w.Header().Del(backend.StateHeader)
+	x.w.WriteHeader(a.response.StatusCode)
+	download := &download{exchange: x, attempt: a}
+	if err := download.copy(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func announceTrailers(header http.Header, response *http.Response) {
+	for name := range response.Trailer {
+		header.Add("Trailer", name)
+	}
+}
+
+func copyTrailers(header http.Header, response *http.Response) {
+	for name, values := range response.Trailer {
+		for _, value := range values {
+			header.Add(http.TrailerPrefix+name, value)
+		}
+	}
+}
+
+// download copies an answer's body, resuming it from another server where that is safe.
+type download struct {
+	exchange    *exchange
+	attempt     *attempt
+	offset      int64 // bytes passed on
+	flushAlways bool
+}
+
+// run copies the body to its end and reports each attempt's outcome.
+func (download *download) run() error {
+	x := download.exchange
+	first := download.attempt.response
+	for {
+		err := download.copy()
+		download.done(err)
+		if err == nil || errors.Is(err, errCaller) {
+			return err
+		}
+		if resumeErr := download.resume(first); resumeErr != nil {
+			return fmt.Errorf("%w; %w", err, resumeErr)
+		}
+		x.handler.Log.Info("caller: an answer goes on from another backend server", zap.String("backend-server", download.attempt.grant.Server), zap.Int64("offset", download.offset))
+	}
+}
+
+// done reports the outcome of the present attempt.
+func (download *download) done(err error) {
+	a := download.attempt
+	report := pool.Report{Reused: a.progress.Reused(), Leaving: backend.Leaving(a.response)}
+	switch {
+	case errors.Is(err, errCaller) || download.exchange.r.Context().Err() != nil:
+		report.Outcome = pool.Canceled
+	case errors.Is(err, errStalled):
+		report.Outcome = pool.Stalled
+	case err != nil:
+		report.Outcome = pool.Truncated
+	case isServerError(a.response.StatusCode):
+		report.Outcome = pool.ServerError
+	default:
+		report.Outcome = pool.Answered
+		report.FirstByte = a.firstByte
+	}
+	_ = a.response.Body.Close()
+	a.cancel()
+	a.grant.Done(report)
+}
+
+func isServerError(status int) bool {
+	return status == http.StatusInternalServerError || status == http.StatusBadGateway || status == http.StatusGatewayTimeout
+}
+
+// copy copies the present attempt's body.
+func (download *download) copy() error {
+	buffer := buffers.Get().(*[copyBytes]byte)
+	defer buffers.Put(buffer)
+	control := http.NewResponseController(download.exchange.w)
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	for {
+		n, readErr := download.read(buffer[:])
+		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(writeStall))
+			if _, err := download.exchange.w.Write(buffer[:n]); err != nil {
+				return fmt.Errorf("%w: %w", errCaller, err)
+			}
+			download.offset += int64(n)
+			if download.flushAlways && control.Flush() != nil {
+				return errCaller
+			}
+		}
+		if readErr == io.EOF {
+			return nil
+		}
+		if readErr != nil {
+			return readErr
+		}
+	}
+}
+
+// read reads once; silence for longer than the service's stall ends the attempt.
+func (download *download) read(buffer []byte) (int, error) {
+	a := download.attempt
+	stalled := make(chan struct{})
+	timer := time.AfterFunc(download.exchange.service.Stall, func() {
+		close(stalled)
+		a.cancel()
+	})
+	n, err := a.response.Body.Read(buffer)
+	if !timer.Stop() && err != nil && err != io.EOF {
+		<-stalled
+		return n, errStalled
+	}
+	return n, err
+}
+
+// resume continues a broken download from another server, if it is one that surely has the same content.
+func (download *download) resume(first *http.Response) error {
+	x := download.exchange
+	etag := first.Header.Get("ETag")
+	resumable := x.r.Method == http.MethodGet && x.request.Idempotent && first.StatusCode == http.StatusOK &&
+		strings.HasPrefix(etag, `"`) && x.r.Header.Get("Range") == "" && x.r.Context().Err() == nil
+	if !resumable {
+		return errNotResumed
+	}
+	for x.request.Number() < x.service.Attempts {
+		if download.resumeOnce(first, etag) {
+			return nil
+		}
+	}
+	return errNoMoreTries
+}
+
+// resumeOnce tries one more server.
+func (download *download) resumeOnce(first *http.Response, etag string) bool {
+	x := download.exchange
+	now := x.now()
+	action := x.request.Resume(now, now.Add(x.route.Deadline))
+	ask := pool.Ask{
+		Attempt: x.handler.nextAttempt(), Team: x.r.Header.Get(backend.TeamHeader), Idempotent: true, Number: x.request.Number(),
+		Exclude: x.request.Tried(), Deadline: action.At, Fingerprint: x.fingerprint,
+	}
+	grant, _ := x.handler.Entry.Acquire(x.ctx, x.slice, ask)
+	if grant == nil {
+		return false
+	}
+	x.request.Granted(grant.Server)
+	a, err := x.sendRange(grant, ask.Attempt, download.offset, etag, action.At)
+	if err != nil {
+		grant.Done(pool.Report{Outcome: pool.Reset})
+		return false
+	}
+	if !continues(first, a.response, download.offset, etag) {
+		_ = a.response.Body.Close()
+		a.cancel()
+		grant.Done(pool.Report{Outcome: pool.Canceled})
+		return false
+	}
+	download.attempt = a
+	return true
+}
+
+// sendRange asks a server for the rest of the content.
+func (x *exchange) sendRange(grant *entry.Grant, id uint64, offset int64, etag string, deadline time.Time) (*attempt, error) {
+	ctx, cancel := context.WithCancel(x.ctx)
+	a := &attempt{id: id, grant: grant, cancel: cancel, sentAt: x.now()}
+	timer := time.AfterFunc(deadline.Sub(x.now()), cancel)
+	defer timer.Stop()
+	out := x.outgoing(ctx)
+	out.Header.Set("Range", "bytes="+strconv.FormatInt(offset, 10)+"-")
+	out.Header.Set("If-Range", etag)
+	response, err := x.handler.Backend.Send(out, backend.Options{Address: grant.Address, Fresh: true}, &a.progress)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	a.response, a.firstByte = response, x.now().Sub(a.sentAt)
+	return a, nil
+}
+
+// continues reports whether an answer is the rest of the first one.
+func continues(first, rest *http.Response, offset int64, etag string) bool {
+	if rest.StatusCode != http.StatusPartialContent || rest.Header.Get("ETag") != etag {
+		return false
+	}
+	if rest.Header.Get("Content-Encoding") != first.Header.Get("Content-Encoding") {
+		return false
+	}
+	var from, to, total int64
+	if _, err := fmt.Sscanf(rest.Header.Get("Content-Range"), "bytes %d-%d/%d", &from, &to, &total); err != nil {
+		return false
+	}
+	if from != offset || to != total-1 {
+		return false
+	}
+	return first.ContentLength < 0 || first.ContentLength == total
+}
--- /dev/null
+++ b/adapters/peer/wire/wire.go
@@ -0,0 +1,5 @@
+// Package wire holds the protobuf messages between entry instances.
+//
+// peer.pb.go is generated and committed; after a change of peer.proto run, in this folder,
+// buf generate with protoc-gen-go on the path (both are tools of tools/go.mod).
+package wire
--- /dev/null
+++ b/adapters/peer/yamux/server.go
@@ -0,0 +1,203 @@
+package yamux
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"github.com/sequoiaspan/sequoiaspan/adapters/peer/wire"
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+// Handler takes in the messages of other entry instances.
+type Handler interface {
+	HandleAsk(slice home.Slice, ask pool.Ask, reply func(pool.Decision, []pool.Ejected))
+	HandleReport(slice home.Slice, report pool.Report)
+	HandleRenew(name, domain string, renewal entry.Renewal)
+	HandleClaim(claim idempotency.Claim) idempotency.Verdict
+	HandleSettle(settlement idempotency.Settlement) bool
+	HandleHandover(handover idempotency.Handover) (idempotency.Keys, bool)
+	HandlePullRules(have uint64) (version uint64, text string)
+	HandleTakeTokens(team string, want int) (granted int, retryAt time.Time)
+	HandleVersions(from entry.Peer, rulesVersion, tableEpoch uint64)
+	MarkLeaving(name string)
+	MarkStarted(name string)
+	Versions() (rulesVersion, tableEpoch uint64)
+	PeerNamed(name string) (entry.Peer, bool)
+}
+
+// Server serves other entry instances; its fields are set before Serve.
+type Server struct {
+	Handler     Handler
+	Log         *zap.Logger
+	Tracer      trace.Tracer
+	Clock       func() time.Time
+	MaxSessions int
+
+	sessions sync.WaitGroup
+	slots    chan struct{}
+}
+
+// Serve accepts sessions until the context ends.
+func (server *Server) Serve(ctx context.Context, listener net.Listener) error {
+	server.slots = make(chan struct{}, server.MaxSessions)
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	defer server.sessions.Wait()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return &Error{Op: "accept", Kind: KindDown, Err: err}
+		}
+		select {
+		case server.slots <- struct{}{}:
+			server.sessions.Go(func() { server.serveSession(ctx, conn) })
+		default:
+			server.Log.Warn("peer: too many sessions, one was refused", zap.Stringer("from", conn.RemoteAddr()))
+			_ = conn.Close()
+		}
+	}
+}
+
+func (server *Server) serveSession(ctx context.Context, conn net.Conn) {
+	defer func() { <-server.slots }()
+	defer conn.Close()
+	session, err := yamux.Server(conn, sessionConfig(server.Log))
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	defer session.Close()
+	accepted, err := session.AcceptStream()
+	if err != nil {
+		return
+	}
+	s := newStream(accepted)
+	defer s.close()
+	go s.write()
+	if err := server.serveStream(s); err != nil && ctx.Err() == nil {
+		server.Log.Warn("peer: a session was ended for a bad message", zap.Stringer("from", conn.RemoteAddr()), zap.Error(err))
+	}
+}
+
+// remote is the other end of a stream.
+type remote struct {
+	server *Server
+	stream *stream
+	peer   entry.Peer
+	domain string
+}
+
+// serveStream handles frames; it returns nil when the stream ends in order.
+func (server *Server) serveStream(s *stream) error {
+	_ = s.conn.SetReadDeadline(time.Now().Add(helloTimeout))
+	first, err := s.receive()
+	if err != nil {
+		return streamEnd(err)
+	}
+	hello := first.GetHello()
+	if hello == nil || hello.GetProtocol() != protocolVersion {
+		return &Error{Op: "hello", Kind: KindProtocol, Err: errProtocol}
+	}
+	_ = s.conn.SetReadDeadline(time.Time{})
+	server.Handler.MarkStarted(hello.GetName())
+	r := &remote{server: server, stream: s, domain: hello.GetDomain()}
+	r.peer, _ = server.Handler.PeerNamed(hello.GetName())
+	r.peer.Name = hello.GetName()
+	for {
+		frame, err := s.receive()
+		if err != nil {
+			return streamEnd(err)
+		}
+		if err := r.handle(frame); err != nil {
+			return err
+		}
+	}
+}
+
+// streamEnd tells an ended connection from a malformed frame.
+func streamEnd(err error) error {
+	var netErr net.Error
+	if errors.As(err, &netErr) || isClosed(err) {
+		return nil
+	}
+	return &Error{Op: "read", Kind: KindProtocol, Err: err}
+}
+
+// handle takes in one frame.
+func (remote *remote) handle(frame *wire.Frame) error {
+	handler := remote.server.Handler
+	if remote.peer.Address.IsValid() {
+		handler.HandleVersions(remote.peer, frame.GetRulesVersion(), frame.GetTableEpoch())
+	}
+	now := remote.server.Clock()
+	switch body := frame.GetBody().(type) {
+	case *wire.Frame_Ask:
+		remote.ask(frame.GetId(), body.Ask, now)
+	case *wire.Frame_Report:
+		slice, report := reportFrom(body.Report)
+		report.Entry, report.Domain = remote.peer.Name, remote.domain
+		handler.HandleReport(slice, report)
+	case *wire.Frame_Renew:
+		handler.HandleRenew(remote.peer.Name, remote.domain, renewalFrom(body.Renew, now))
+	case *wire.Frame_Claim:
+		verdict := handler.HandleClaim(claimFrom(body.Claim, now))
+		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_Verdict{Verdict: verdictTo(verdict, now)}})
+	case *wire.Frame_Settle:
+		kept := handler.HandleSettle(settlementFrom(body.Settle))
+		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{Refused: !kept}}})
+	case *wire.Frame_Handover:
+		keys, known := handler.HandleHandover(handoverFrom(body.Handover))
+		remote.reply(frame.GetId(), keysTo(keys, known, now))
+	case *wire.Frame_PullRules:
+		version, text := handler.HandlePullRules(body.PullRules.GetHave())
+		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_Rules{Rules: &wire.Rules{Version: version, Text: text}}})
+	case *wire.Frame_Tokens:
+		granted, retryAt := handler.HandleTakeTokens(body.Tokens.GetTeam(), int(body.Tokens.GetWant()))
+		reply := &wire.TokensReply{Granted: uint32(granted), RetryAfterNanos: until(now, retryAt)}
+		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_TokensReply{TokensReply: reply}})
+	case *wire.Frame_Leaving:
+		handler.MarkLeaving(remote.peer.Name)
+		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}})
+	default:
+		return &Error{Op: "handle", Kind: KindProtocol, Peer: remote.peer.Name, Err: errProtocol}
+	}
+	return nil
+}
+
+func (remote *remote) ask(id uint64, message *wire.Ask, now time.Time) {
+	slice, ask := askFrom(message, now)
+	ask.Entry, ask.Domain = remote.peer.Name, remote.domain
+	ctx := propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{"traceparent": message.GetTraceParent()})
+	_, span := remote.server.Tracer.Start(ctx, "grant")
+	remote.server.Handler.HandleAsk(slice, ask, func(decision pool.Decision, ejected []pool.Ejected) {
+		if decision.Verdict != pool.Queued {
+			span.End()
+		}
+		reply := decisionTo(decision, ejected, remote.server.Clock())
+		remote.reply(id, &wire.Frame{Body: &wire.Frame_Decision{Decision: reply}})
+	})
+}
+
+// reply queues an answer; a peer that does not read loses it and asks again.
+func (remote *remote) reply(id uint64, frame *wire.Frame) {
+	frame.Id = id
+	frame.RulesVersion, frame.TableEpoch = remote.server.Handler.Versions()
+	if err := remote.stream.send(frame); errors.Is(err, errFull) {
+		remote.server.Log.Warn("peer: a reply was dropped, the peer reads too slowly", zap.String("peer", remote.peer.Name))
+	}
+}
--- /dev/null
+++ b/adapters/peer/yamux/yamux.go
@@ -0,0 +1,135 @@
+// Package yamux carries messages between entry instances over yamux sessions, one for each pair, opened on use.
+package yamux
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/sequoiaspan/sequoiaspan/adapters/peer/wire"
+)
+
+// Limits of sessions.
+const (
+	protocolVersion = 1
+	maxFrameBytes   = 8 << 20
+	queuedFrames    = 4096 // frames waiting to be written on one stream
+	keepAlive       = 10 * time.Second
+	writeTimeout    = 5 * time.Second
+	helloTimeout    = 5 * time.Second
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindSilent   Kind = "silent"   // no answer came in time
+	KindDown     Kind = "down"     // no session could be opened, or it ended
+	KindProtocol Kind = "protocol" // the peer sent what makes no sense
+)
+
+// Error is a failure to exchange messages with a peer.
+type Error struct {
+	Op   string
+	Kind Kind
+	Peer string
+	Err  error
+}
+
+// Error returns the operation, peer, kind and cause.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s %s: %s", e.Op, e.Peer, e.Kind)
+	}
+	return fmt.Sprintf("%s %s: %s: %v", e.Op, e.Peer, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+var (
+	errFull     = errors.New("too many messages wait to be written")
+	errProtocol = errors.New("unexpected message or version")
+)
+
+func sessionConfig(log *zap.Logger) *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.KeepAliveInterval = keepAlive
+	config.ConnectionWriteTimeout = writeTimeout
+	config.LogOutput = nil
+	config.Logger = zap.NewStdLog(log)
+	return config
+}
+
+// stream writes and reads frames on one yamux stream.
+type stream struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	out    chan *wire.Frame
+	done   chan struct{}
+	once   sync.Once
+}
+
+func newStream(conn net.Conn) *stream {
+	return &stream{
+		conn: conn, reader: bufio.NewReader(conn),
+		out: make(chan *wire.Frame, queuedFrames), done: make(chan struct{}),
+	}
+}
+
+// send queues a frame.
+func (stream *stream) send(frame *wire.Frame) error {
+	select {
+	case <-stream.done:
+		return io.ErrClosedPipe
+	case stream.out <- frame:
+		return nil
+	default:
+		return errFull
+	}
+}
+
+// receive reads the next frame.
+func (stream *stream) receive() (*wire.Frame, error) {
+	frame := &wire.Frame{}
+	err := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}.UnmarshalFrom(stream.reader, frame)
+	return frame, err
+}
+
+// write writes queued frames until the stream is closed, several to a flush when they come fast.
+func (stream *stream) write() {
+	defer stream.close()
+	writer := bufio.NewWriter(stream.conn)
+	for {
+		select {
+		case <-stream.done:
+			return
+		case frame := <-stream.out:
+			if _, err := protodelim.MarshalTo(writer, frame); err != nil {
+				return
+			}
+		}
+		if len(stream.out) > 0 {
+			continue
+		}
+		if err := writer.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+func (stream *stream) close() {
+	stream.once.Do(func() {
+		close(stream.done)
+		_ = stream.conn.Close()
+	})
+}
--- /dev/null
+++ b/adapters/store/http/http.go
@@ -0,0 +1,159 @@
+// Package http reaches the platform's key-value store over HTTP.
+//
+// GET /v1/keys/KEY answers the value with its revision in the Revision header, or 404. With after=REV and
+// wait=SECONDS it answers once the revision differs, or 304. PUT takes the expected revision in If-Match
+// (0 for an absent key) and answers the new revision, or 412. DELETE removes a key.
+package http
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+// Limits of calls.
+const (
+	maxValueBytes = 1 << 20
+	callTimeout   = 2 * time.Second
+	watchWait     = 20 * time.Second
+	watchTimeout  = watchWait + 5*time.Second
+)
+
+// Store is a client of the store; Address must be set.
+type Store struct {
+	Address netip.AddrPort
+	Client  http.Client
+}
+
+// Get returns a key's value; revision 0 stands for an absent key.
+func (store *Store) Get(ctx context.Context, key string) ([]byte, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	value, revision, _, err := store.get(ctx, "get", key, nil)
+	return value, revision, err
+}
+
+// Watch returns once the key's revision differs from the given one.
+func (store *Store) Watch(ctx context.Context, key string, revision uint64) ([]byte, uint64, error) {
+	for {
+		value, newRevision, changed, err := store.watchOnce(ctx, key, revision)
+		if err != nil || changed {
+			return value, newRevision, err
+		}
+	}
+}
+
+func (store *Store) watchOnce(ctx context.Context, key string, revision uint64) ([]byte, uint64, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	query := url.Values{
+		"after": {strconv.FormatUint(revision, 10)},
+		"wait":  {strconv.Itoa(int(watchWait / time.Second))},
+	}
+	return store.get(ctx, "watch", key, query)
+}
+
+func (store *Store) get(ctx context.Context, op, key string, query url.Values) (value []byte, revision uint64, changed bool, err error) {
+	response, err := store.do(ctx, op, http.MethodGet, key, query, nil, nil)
+	if err != nil {
+		return nil, 0, false, err
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusNotModified:
+		return nil, 0, false, nil
+	case http.StatusNotFound:
+		return nil, 0, true, nil
+	case http.StatusOK:
+		value, revision, err = readValue(op, response)
+		return value, revision, true, err
+	}
+	return nil, 0, false, unexpected(op, response)
+}
+
+func readValue(op string, response *http.Response) ([]byte, uint64, error) {
+	revision, err := strconv.ParseUint(response.Header.Get("Revision"), 10, 64)
+	if err != nil || revision == 0 {
+		return nil, 0, &entry.Error{Op: op, Kind: entry.KindInvalid, Err: errors.New("answer without a revision")}
+	}
+	value, err := io.ReadAll(io.LimitReader(response.Body, maxValueBytes+1))
+	if err != nil {
+		return nil, 0, &entry.Error{Op: op, Kind: entry.KindAway, Err: err}
+	}
+	if len(value) > maxValueBytes {
+		return nil, 0, &entry.Error{Op: op, Kind: entry.KindInvalid, Err: errors.New("value too large")}
+	}
+	return value, revision, nil
+}
+
+// CompareAndSwap writes a value if the key still has the revision; after an error of kind away the write may have happened.
+func (store *Store) CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte) (uint64, error) {
+	if len(value) > maxValueBytes {
+		return 0, &entry.Error{Op: "compare-and-swap", Kind: entry.KindRefused, Err: errors.New("value too large")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	header := http.Header{"If-Match": {strconv.FormatUint(revision, 10)}}
+	response, err := store.do(ctx, "compare-and-swap", http.MethodPut, key, nil, header, value)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+		newRevision, err := strconv.ParseUint(response.Header.Get("Revision"), 10, 64)
+		if err != nil {
+			return 0, &entry.Error{Op: "compare-and-swap", Kind: entry.KindAway, Err: errors.New("answer without a revision")}
+		}
+		return newRevision, nil
+	case http.StatusPreconditionFailed:
+		return 0, &entry.Error{Op: "compare-and-swap", Kind: entry.KindConflict, Err: errors.New("the key has another revision")}
+	}
+	return 0, unexpected("compare-and-swap", response)
+}
+
+// Delete removes a key; an absent one is no error.
+func (store *Store) Delete(ctx context.Context, key string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := store.do(ctx, "delete", http.MethodDelete, key, nil, nil, nil)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent && response.StatusCode != http.StatusNotFound {
+		return unexpected("delete", response)
+	}
+	return nil
+}
+
+func (store *Store) do(ctx context.Context, op, method, key string, query url.Values, header http.Header, body []byte) (*http.Response, error) {
+	target := url.URL{Scheme: "http", Host: store.Address.String(), Path: "/v1/keys/" + key, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return nil, &entry.Error{Op: op, Kind: entry.KindRefused, Err: err}
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	// Without GetBody the transport never sends a write a second time by itself.
+	request.GetBody = nil
+	response, err := store.Client.Do(request)
+	if err != nil {
+		return nil, &entry.Error{Op: op, Kind: entry.KindAway, Err: err}
+	}
+	return response, nil
+}
+
+func unexpected(op string, response *http.Response) error {
+	return &entry.Error{Op: op, Kind: entry.KindAway, Err: fmt.Errorf("the store answered %s", response.Status)}
+}
--- /dev/null
+++ b/cmd/sequoiaspan/main.go
@@ -0,0 +1,10 @@
+// Command sequoiaspan is the daemon of an entry instance.
+package main
+
+import (
+	"os"
+
+	"github.com/sequoiaspan/sequoiaspan/command"
+)
+
+func main() { os.Exit(command.Daemon()) }
--- /dev/null
+++ b/command/control.go
@@ -0,0 +1,140 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	instances "github.com/sequoiaspan/sequoiaspan/adapters/instances/http"
+	store "github.com/sequoiaspan/sequoiaspan/adapters/store/http"
+	"github.com/sequoiaspan/sequoiaspan/control"
+	"github.com/sequoiaspan/sequoiaspan/version"
+)
+
+const examples = `
+Examples:
+  sequoiaspanctl check rules
+  sequoiaspanctl fetch rules --store 10.0.0.5:7000
+  sequoiaspanctl publish rules --store 10.0.0.5:7000 --instance-list 10.0.0.5:7001
+  sequoiaspanctl status --details --instance-list 10.0.0.5:7001
+  sequoiaspanctl explain rules POST /releases
+
+SEQUOIASPAN_STORE_ADDRESS and SEQUOIASPAN_INSTANCE_LIST_ADDRESS stand in for the flags.`
+
+// arguments are the command line's values.
+type arguments struct {
+	file, method, path   string
+	storeText, listText  string
+	operator             string
+	base                 uint64
+	details              bool
+	storeAddr, listAddr  netip.AddrPort
+	needsStore, needList bool
+}
+
+// Control runs sequoiaspanctl, the operators' command, and returns its exit code.
+func Control() int {
+	args := &arguments{
+		storeText: os.Getenv("SEQUOIASPAN_STORE_ADDRESS"), listText: os.Getenv("SEQUOIASPAN_INSTANCE_LIST_ADDRESS"),
+		operator: operatorName(),
+	}
+	flaggy.SetName("sequoiaspanctl")
+	flaggy.SetDescription("checks and publishes rules, and shows what is in force")
+	flaggy.SetVersion(version.Number)
+	flaggy.DefaultParser.AdditionalHelpAppend = examples
+	check := fileCommand("check", "check a rules file and print every fault", args)
+	fetch := fileCommand("fetch", "write the rules in force to a file", args)
+	diff := fileCommand("diff", "show what a file would change", args)
+	publish := fileCommand("publish", "bring a file into force and show where it is", args)
+	status := flaggy.NewSubcommand("status")
+	status.Description = "show every instance's standing"
+	explain := fileCommand("explain", "show which rules apply to a request", args)
+	explain.AddPositionalValue(&args.method, "METHOD", 2, true, "method of the request")
+	explain.AddPositionalValue(&args.path, "PATH", 3, true, "path of the request")
+	for _, c := range []*flaggy.Subcommand{fetch, diff, publish} {
+		c.String(&args.storeText, "s", "store", "address of the configuration store")
+	}
+	for _, c := range []*flaggy.Subcommand{publish, status} {
+		c.String(&args.listText, "i", "instance-list", "address of the instance list")
+	}
+	publish.String(&args.operator, "o", "by", "operator's name, kept with the version")
+	publish.UInt64(&args.base, "b", "base", "version the change was made from; the file's first line if not given")
+	status.Bool(&args.details, "d", "details", "show backend servers too")
+	for _, c := range []*flaggy.Subcommand{check, fetch, diff, publish, status, explain} {
+		flaggy.AttachSubcommand(c, 1)
+	}
+	flaggy.Parse()
+
+	args.needsStore = fetch.Used || diff.Used || publish.Used
+	args.needList = publish.Used || status.Used
+	if err := args.parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	c := &control.Control{
+		Store: &store.Store{Address: args.storeAddr}, Instances: &instances.Instances{Address: args.listAddr}, Out: os.Stdout,
+	}
+	switch {
+	case check.Used:
+		return exit(c.Check(args.file))
+	case fetch.Used:
+		return exit(c.Fetch(ctx, args.file))
+	case diff.Used:
+		return exit(c.Diff(ctx, args.file))
+	case publish.Used:
+		return exit(c.Publish(ctx, args.file, args.operator, args.base))
+	case status.Used:
+		return exit(c.Status(ctx, args.details))
+	case explain.Used:
+		return exit(c.Explain(args.file, args.method, args.path))
+	}
+	flaggy.ShowHelp("")
+	return exitUsage
+}
+
+// fileCommand returns a subcommand that takes a rules file.
+func fileCommand(name, description string, args *arguments) *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(name)
+	c.Description = description
+	c.AddPositionalValue(&args.file, "FILE", 1, true, "rules file")
+	return c
+}
+
+func (args *arguments) parse() error {
+	var err error
+	if args.needsStore {
+		if args.storeAddr, err = netip.ParseAddrPort(args.storeText); err != nil {
+			return fmt.Errorf("--store: give the store's IP number and port: %w", err)
+		}
+	}
+	if args.needList {
+		if args.listAddr, err = netip.ParseAddrPort(args.listText); err != nil {
+			return fmt.Errorf("--instance-list: give the list's IP number and port: %w", err)
+		}
+	}
+	return nil
+}
+
+func exit(err error) int {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
+func operatorName() string {
+	current, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return current.Username
+}
--- /dev/null
+++ b/configuration/follower.go
@@ -0,0 +1,49 @@
+package configuration
+
+import "context"
+
+// Watcher is the part of the platform's store that following needs.
+type Watcher interface {
+	Reader
+	Watch(ctx context.Context, key string, revision uint64) (value []byte, newRevision uint64, err error)
+}
+
+// Follower follows the rules in the store; Store must be set.
+type Follower struct {
+	Store Watcher
+	known *Version
+}
+
+// Next waits for a version newer than the one it returned last.
+func (follower *Follower) Next(ctx context.Context) (uint64, string, error) {
+	for {
+		version, err := follower.read(ctx)
+		if err != nil {
+			return 0, "", err
+		}
+		if version.Number == 0 || follower.known != nil && version.Number <= follower.known.Number {
+			continue
+		}
+		follower.known = version
+		return version.Number, version.Text, nil
+	}
+}
+
+// read reads the head at first, and then waits for its change.
+func (follower *Follower) read(ctx context.Context) (*Version, error) {
+	if follower.known == nil {
+		version, err := Load(ctx, follower.Store)
+		if err != nil || version.Number != 0 {
+			return version, err
+		}
+	}
+	revision := uint64(0)
+	if follower.known != nil {
+		revision = follower.known.Revision
+	}
+	value, revision, err := follower.Store.Watch(ctx, HeadKey, revision)
+	if err != nil {
+		return nil, &Error{Op: "follow", Kind: KindAway, Err: err}
+	}
+	return Resolve(ctx, follower.Store, value, revision, follower.known)
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,344 @@
+// Package control is the operators' command: it checks, compares and publishes rules, and shows what is in force.
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rogpeppe/go-internal/diff"
+
+	"github.com/sequoiaspan/sequoiaspan/configuration"
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/rules"
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+// Timing of the command.
+const (
+	statusTimeout = 2 * time.Second
+	inForceWait   = 10 * time.Second
+	inForceEvery  = 100 * time.Millisecond
+	statusFanOut  = 64
+)
+
+// versionLine begins the line of a rules file that says which version the file was made from.
+const versionLine = "# sequoiaspan version "
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindFile    Kind = "file"    // the rules file cannot be read or written
+	KindBase    Kind = "base"    // it is not known which version the file was made from
+	KindPartial Kind = "partial" // not every instance has the version in force
+	KindAway    Kind = "away"    // no instance answers
+)
+
+// Error is a failure of the command.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Control carries out the operators' commands; Store and Instances are not needed to check a file.
+type Control struct {
+	Store     configuration.Store
+	Instances entry.Instances
+	Client    http.Client
+	Out       io.Writer
+}
+
+// Check reads a rules file and prints its size, or returns every fault.
+func (control *Control) Check(file string) error {
+	text, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	set, err := rules.Parse(file, text)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(control.Out, "%s: %d rules, no faults\n", file, set.Len())
+	return nil
+}
+
+// Fetch writes the rules in force to a file, with the version that they are.
+func (control *Control) Fetch(ctx context.Context, file string) error {
+	current, err := configuration.Load(ctx, control.Store)
+	if err != nil {
+		return err
+	}
+	if err := writeFile(file, current); err != nil {
+		return err
+	}
+	fmt.Fprintf(control.Out, "%s: version %d\n", file, current.Number)
+	return nil
+}
+
+// Diff prints what a file would change in the rules in force.
+func (control *Control) Diff(ctx context.Context, file string) error {
+	text, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	current, err := configuration.Load(ctx, control.Store)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("version %d", current.Number)
+	_, body := cutVersion(text)
+	_, err = control.Out.Write(diff.Diff(name, []byte(current.Text), file, []byte(body)))
+	return err
+}
+
+// Publish brings a file into force if no other version came into force since the one it was made from.
+//
+// A base of 0 takes the version from the file's first line. The command then waits and prints where the version is in force.
+func (control *Control) Publish(ctx context.Context, file, operator string, base uint64) error {
+	text, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	fromFile, body := cutVersion(text)
+	if base == 0 {
+		base = fromFile
+	}
+	published, err := configuration.Publish(ctx, control.Store, file, body, operator, base, time.Now())
+	if err != nil {
+		return control.explainConflict(err, body)
+	}
+	fmt.Fprintf(control.Out, "version %d is accepted\n", published.Number)
+	if err := writeFile(file, published); err != nil {
+		return err
+	}
+	return control.awaitInForce(ctx, published.Number)
+}
+
+// explainConflict adds the other change to an error: what it is and who asked for it.
+func (control *Control) explainConflict(err error, body string) error {
+	var failed *configuration.Error
+	if !errors.As(err, &failed) || failed.Kind != configuration.KindConflict {
+		return err
+	}
+	fmt.Fprintf(control.Out, "the rules in force (version %d, changed by %s) against this file:\n", failed.Current.Number, failed.Current.ChangedBy)
+	_, _ = control.Out.Write(diff.Diff("in force", []byte(failed.Current.Text), "this file", []byte(body)))
+	fmt.Fprintln(control.Out, "fetch the rules in force, make the change again and publish")
+	return err
+}
+
+// awaitInForce waits until every listed instance has the version in force.
+func (control *Control) awaitInForce(ctx context.Context, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, inForceWait)
+	defer cancel()
+	started := time.Now()
+	for {
+		rows, err := control.collect(ctx)
+		if err != nil {
+			return err
+		}
+		missing := behind(rows, version)
+		if len(missing) == 0 {
+			fmt.Fprintf(control.Out, "version %d is in force on %d of %d instances after %s\n", version, len(rows), len(rows), time.Since(started).Round(time.Millisecond))
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			for _, row := range missing {
+				fmt.Fprintf(control.Out, "not in force on %s: %s\n", row.name, row.standing())
+			}
+			return &Error{Op: "publish", Kind: KindPartial, Err: fmt.Errorf("version %d is accepted but not seen in force on %d of %d instances", version, len(missing), len(rows))}
+		case <-time.After(inForceEvery):
+		}
+	}
+}
+
+// row is one instance's answer to a status question.
+type row struct {
+	name   string
+	status entry.Status
+	err    error
+}
+
+func (row *row) standing() string {
+	if row.err != nil {
+		return "no answer: " + row.err.Error()
+	}
+	return fmt.Sprintf("version %d", row.status.RulesVersion)
+}
+
+func behind(rows []row, version uint64) []row {
+	return slices.DeleteFunc(slices.Clone(rows), func(r row) bool {
+		return r.err == nil && r.status.RulesVersion >= version
+	})
+}
+
+// Status prints every listed instance's standing, with its slices when details are asked for.
+func (control *Control) Status(ctx context.Context, details bool) error {
+	rows, err := control.collect(ctx)
+	if err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(control.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "INSTANCE\tDOMAIN\tSTATE\tRULES\tGRANTS\tKEYS\tRESTRICTIONS")
+	unanswered := 0
+	for _, r := range rows {
+		if r.err != nil {
+			unanswered++
+			fmt.Fprintf(table, "%s\t\tno answer\t\t\t\t%v\n", r.name, r.err)
+			continue
+		}
+		s := r.status
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", r.name, s.Domain, stateOf(s), s.RulesVersion, s.GrantsHeld, s.Keys.Keys, strings.Join(s.Restrictions, "; "))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	if details {
+		control.printSlices(rows)
+	}
+	if unanswered == len(rows) {
+		return &Error{Op: "status", Kind: KindAway, Err: errors.New("no instance answers")}
+	}
+	return nil
+}
+
+func stateOf(status entry.Status) string {
+	if status.Leaving {
+		return "leaving"
+	}
+	return "live"
+}
+
+func (control *Control) printSlices(rows []row) {
+	table := tabwriter.NewWriter(control.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nHOME\tSLICE\tBACKEND SERVER\tSTATE\tIN FLIGHT\tLIMIT\tEVIDENCE")
+	for _, r := range rows {
+		for _, slice := range r.status.Slices {
+			for _, s := range slice.Servers {
+				fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%.1f\n", r.name, slice.Slice, s.Server, s.State, s.InFlight, s.Limit, s.Evidence)
+			}
+		}
+	}
+	_ = table.Flush()
+}
+
+// collect asks every listed instance for its status.
+func (control *Control) collect(ctx context.Context) ([]row, error) {
+	list, err := control.Instances.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]row, len(list.Entries))
+	slots := make(chan struct{}, statusFanOut)
+	var group sync.WaitGroup
+	for i, listed := range list.Entries {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			rows[i] = control.ask(ctx, listed)
+		})
+	}
+	group.Wait()
+	return rows, nil
+}
+
+func (control *Control) ask(ctx context.Context, listed instance.Entry) row {
+	r := row{name: listed.Name}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	r.status, r.err = control.fetchStatus(ctx, listed.Operator)
+	return r
+}
+
+func (control *Control) fetchStatus(ctx context.Context, address netip.AddrPort) (entry.Status, error) {
+	status := entry.Status{}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/status", nil)
+	if err != nil {
+		return status, err
+	}
+	response, err := control.Client.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// Explain prints which rules apply to a request, and who asked for them.
+func (control *Control) Explain(file, method, path string) error {
+	text, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	set, err := rules.Parse(file, text)
+	if err != nil {
+		return err
+	}
+	route := set.Route(method, path)
+	if route == nil {
+		fmt.Fprintf(control.Out, "%s %s: no route, callers get 404\n", method, path)
+		return nil
+	}
+	service := set.Service(route.Service)
+	fmt.Fprintf(control.Out, "%s %s\n", method, path)
+	fmt.Fprintf(control.Out, "  route %s/ (line %d): service %s, deadline %s  # %s\n", route.Prefix, route.Line, route.Service, route.Deadline, route.AskedBy)
+	fmt.Fprintf(control.Out, "  service %s (line %d): floor %.0f%%, slots %d, attempts %d, ejection %s  # %s\n",
+		service.Name, service.Line, 100*service.Floor, service.Slots, service.Attempts, service.Ejection, service.AskedBy)
+	if route.Idempotent(method) {
+		fmt.Fprintln(control.Out, "  idempotent: may be tried again and hedged")
+	} else {
+		fmt.Fprintln(control.Out, "  not idempotent: written to one backend server once")
+	}
+	return nil
+}
+
+func readFile(file string) (string, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", &Error{Op: "read", Kind: KindFile, Err: err}
+	}
+	return string(text), nil
+}
+
+// writeFile replaces a rules file with a version's text.
+func writeFile(file string, version *configuration.Version) error {
+	text := versionLine + strconv.FormatUint(version.Number, 10) + "\n" + version.Text
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		return &Error{Op: "write", Kind: KindFile, Err: err}
+	}
+	return nil
+}
+
+// cutVersion splits a file into the version it was made from and its rules.
+func cutVersion(text string) (uint64, string) {
+	first, rest, _ := strings.Cut(text, "\n")
+	digits, found := strings.CutPrefix(strings.TrimSuffix(first, "\r"), versionLine)
+	if !found {
+		return 0, text
+	}
+	version, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return 0, text
+	}
+	return version, rest
+}
--- /dev/null
+++ b/core/home/home.go
@@ -0,0 +1,92 @@
+// Package home places slices of a service's backend servers on entry instances.
+package home
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
+)
+
+// SliceServers is the most backend servers that one slice holds on average.
+const SliceServers = 32
+
+// Slice names a part of a service's backend servers.
+type Slice struct {
+	Service string
+	Index   int
+}
+
+// String returns the slice's name, such as balances/0.
+func (slice Slice) String() string {
+	return slice.Service + "/" + strconv.Itoa(slice.Index)
+}
+
+// Slices returns how many slices a service with this many backend servers has.
+func Slices(servers int) int {
+	return max(1, (servers+SliceServers-1)/SliceServers)
+}
+
+// IndexOf returns the slice of a backend server among a service's slices.
+func IndexOf(server string, slices int) int {
+	if slices <= 1 {
+		return 0
+	}
+	return int(xxhash.Sum64String(server) % uint64(slices))
+}
+
+// Candidate is an entry instance with its hash, ready for ranking.
+type Candidate struct {
+	Entry instance.Entry
+	hash  uint64
+}
+
+// Candidates prepares the live entry instances for ranking.
+func Candidates(entries []instance.Entry) []Candidate {
+	candidates := make([]Candidate, 0, len(entries))
+	for _, entry := range entries {
+		if entry.State == instance.Live {
+			candidates = append(candidates, Candidate{Entry: entry, hash: xxhash.Sum64String(entry.Name)})
+		}
+	}
+	return candidates
+}
+
+// Choose returns the indices of a slice's home and of its deputy in another failure domain, -1 for none.
+//
+// It ranks by highest random weight (Thaler and Ravishankar, 1998), so that a change of one
+// instance moves only the slices of that instance. Without a second domain the deputy is the next.
+func Choose(slice Slice, candidates []Candidate) (first, deputy int) {
+	key := xxhash.Sum64String(slice.String())
+	first = best(key, candidates, func(int) bool { return true })
+	if first < 0 {
+		return -1, -1
+	}
+	domain := candidates[first].Entry.Domain
+	deputy = best(key, candidates, func(i int) bool { return candidates[i].Entry.Domain != domain })
+	if deputy < 0 {
+		deputy = best(key, candidates, func(i int) bool { return i != first })
+	}
+	return first, deputy
+}
+
+func best(key uint64, candidates []Candidate, allowed func(int) bool) int {
+	found, score := -1, uint64(0)
+	for i := range candidates {
+		if s := Weight(key, candidates[i].hash); allowed(i) && (found < 0 || s > score) {
+			found, score = i, s
+		}
+	}
+	return found
+}
+
+// Weight mixes a key's hash with a member's into the member's score for the key.
+func Weight(key, member uint64) uint64 {
+	x := key ^ member*0x9e3779b97f4a7c15
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/core/pool/options.go
@@ -0,0 +1,33 @@
+package pool
+
+import "github.com/sequoiaspan/sequoiaspan/core/rules"
+
+// Policy is the part of a service rule that a pool follows.
+type Policy struct {
+	Floor       float64
+	Slots       int
+	Connections int
+	Ejection    rules.Ejection
+	Limit       float64 // requests per second over the slice, 0 for none
+}
+
+// PolicyOf returns the policy of a service rule whose backend servers form this many slices.
+func PolicyOf(service *rules.Service, slices int) Policy {
+	return Policy{
+		Floor: service.Floor, Slots: service.Slots, Connections: service.Connections,
+		Ejection: service.Ejection, Limit: service.Limit / float64(max(1, slices)),
+	}
+}
+
+func (policy Policy) withDefaults() Policy {
+	if policy == (Policy{}) {
+		policy.Floor = rules.DefaultFloor
+	}
+	if policy.Slots <= 0 {
+		policy.Slots = rules.DefaultSlots
+	}
+	if policy.Connections <= 0 {
+		policy.Connections = rules.DefaultConnections
+	}
+	return policy
+}
--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,305 @@
+// Package pool decides which backend server of a slice runs which request, on evidence pooled from all entry instances.
+package pool
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/quarantine"
+)
+
+// Timing and sizing of grants.
+const (
+	leaseLength     = 20 * time.Second // a grant not renewed for this long is free again
+	waiterLimit     = 512              // queued asks of one slice
+	queueDepth      = 4                // queued asks for each slot
+	fullRetryAfter  = time.Second
+	noServerRetry   = 2 * time.Second
+	budgetRetry     = time.Second
+	connectionTau   = 5 * time.Second // time constant of the estimate of open connections
+	connectionShare = 0.8             // share of a server's connections that grants may use
+)
+
+// Member is a backend server as the instance list shows it.
+type Member struct {
+	Name    string
+	Domain  string
+	Address netip.AddrPort
+	Slots   int // 0 to follow the policy
+	Leaving bool
+}
+
+// Ask is an entry instance's request for a grant.
+type Ask struct {
+	Attempt     uint64 // unique over all entries
+	Entry       string // asking entry instance
+	Domain      string // its failure domain
+	Team        string
+	Idempotent  bool
+	Hedge       bool     // a second copy of an attempt that is still out
+	Number      int      // attempt number of the request, from 1
+	Exclude     []string // servers that this request has tried
+	Deadline    time.Time
+	Fingerprint uint64 // 0 when the request has none
+}
+
+// Verdict says what became of an Ask.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Granted asks may be sent to the server of the decision.
+	Granted Verdict = iota
+	// Queued asks get their decision from Next later.
+	Queued
+	// Full means that every slot is taken and the queue is full or the wait is over.
+	Full
+	// NoServer means that no backend server is in service.
+	NoServer
+	// OverBudget means that the service's retry budget is spent.
+	OverBudget
+	// Quarantined means that this request crashed backend servers before.
+	Quarantined
+	// Limited means that the service's request limit is reached.
+	Limited
+)
+
+// Decision answers an Ask.
+type Decision struct {
+	Attempt   uint64
+	Verdict   Verdict
+	Server    string
+	Domain    string // the server's failure domain
+	Address   netip.AddrPort
+	SuspectAt time.Time // no first byte by then makes the server suspect
+	Fresh     bool      // a new connection is required
+	Close     bool      // the connection is not to be kept open afterwards
+	RetryAt   time.Time // when refused
+}
+
+// Pool holds one slice of a service's backend servers; the zero value is an empty pool with the default policy.
+//
+// A Pool is not safe for concurrent use.
+type Pool struct {
+	policy     Policy
+	servers    []*server
+	grants     map[uint64]grant
+	waiters    []waiter
+	ready      []Decision
+	budget     budget
+	rate       bucket
+	baseline   rate // events of all servers
+	vantages   vantages
+	quarantine quarantine.Quarantine
+	ended      recent
+	suspectIn  time.Duration // silence before the first byte that makes a server suspect
+	born       time.Time
+	lastTick   time.Time
+	view       uint64
+}
+
+// recent remembers the latest attempts that ended, so that a renewal that was under way does not bring them back.
+type recent struct {
+	attempts [128]uint64
+	next     int
+}
+
+func (recent *recent) add(attempt uint64) {
+	recent.attempts[recent.next] = attempt
+	recent.next = (recent.next + 1) % len(recent.attempts)
+}
+
+func (recent *recent) has(attempt uint64) bool {
+	return slices.Contains(recent.attempts[:], attempt)
+}
+
+// grant is one outstanding permission.
+type grant struct {
+	server      *server
+	entry       string
+	domain      string
+	team        string
+	granted     time.Time
+	expires     time.Time
+	overdue     bool
+	verifies    bool // sent to a suspect to confirm or clear it
+	fingerprint uint64
+}
+
+// SetPolicy replaces the policy.
+func (pool *Pool) SetPolicy(policy Policy) {
+	pool.policy = policy.withDefaults()
+	for _, s := range pool.servers {
+		s.slots = pool.slotsOf(s.member)
+	}
+}
+
+// SetServers replaces the members; a server new to a pool with history starts slowly.
+func (pool *Pool) SetServers(now time.Time, members []Member) {
+	pool.init(now)
+	known := make(map[string]*server, len(pool.servers))
+	for _, s := range pool.servers {
+		known[s.member.Name] = s
+	}
+	first := len(pool.servers) == 0
+	servers := make([]*server, 0, len(members))
+	for _, member := range members {
+		s := known[member.Name]
+		if s == nil || s.member.Address != member.Address {
+			s = &server{}
+			if !first {
+				s.startRamp(now)
+			}
+		}
+		member.Leaving = member.Leaving || s.member.Leaving
+		s.member = member
+		s.slots = pool.slotsOf(member)
+		servers = append(servers, s)
+	}
+	pool.servers = servers
+	pool.serveWaiters(now)
+}
+
+func (pool *Pool) init(now time.Time) {
+	if !pool.born.IsZero() {
+		return
+	}
+	pool.policy = pool.policy.withDefaults()
+	pool.born = now
+	pool.grants = map[uint64]grant{}
+	pool.suspectIn = coldSuspectIn
+}
+
+func (pool *Pool) slotsOf(member Member) int {
+	if member.Slots > 0 {
+		return member.Slots
+	}
+	return pool.policy.Slots
+}
+
+// Ask grants, queues or refuses; a refusal costs no slot. A repeated attempt gets its grant again.
+func (pool *Pool) Ask(now time.Time, ask Ask) Decision {
+	pool.init(now)
+	pool.vantages.see(now, ask.Domain, ask.Entry)
+	if g, found := pool.grants[ask.Attempt]; found {
+		return pool.describe(now, ask.Attempt, g)
+	}
+	if pool.waits(ask.Attempt) {
+		return Decision{Attempt: ask.Attempt, Verdict: Queued}
+	}
+	if until, found := pool.quarantine.Until(now, ask.Fingerprint); found {
+		return Decision{Attempt: ask.Attempt, Verdict: Quarantined, RetryAt: until}
+	}
+	if ask.Number <= 1 && !pool.rate.take(now, pool.policy.Limit) {
+		return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: pool.rate.nextAt(now, pool.policy.Limit)}
+	}
+	if !pool.budget.allow(ask.Number > 1 || ask.Hedge) {
+		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(budgetRetry)}
+	}
+	if len(pool.waiters) > 0 && !ask.Hedge {
+		return pool.enqueue(now, ask)
+	}
+	if s, r := pool.choose(now, &ask); s != nil {
+		return pool.grant(now, &ask, s, r)
+	}
+	return pool.enqueue(now, ask)
+}
+
+// grant takes a slot of the server.
+func (pool *Pool) grant(now time.Time, ask *Ask, s *server, r rank) Decision {
+	g := grant{
+		server: s, entry: ask.Entry, domain: ask.Domain, team: ask.Team,
+		granted: now, expires: now.Add(leaseLength), verifies: r == rankVerify, fingerprint: ask.Fingerprint,
+	}
+	pool.grants[ask.Attempt] = g
+	s.inFlight++
+	if g.verifies {
+		s.verifying++
+	}
+	s.lastGrant = now
+	decision := pool.describe(now, ask.Attempt, g)
+	decision.Close = !s.keepConnection(now, pool.policy.Connections)
+	return decision
+}
+
+func (pool *Pool) describe(now time.Time, attempt uint64, g grant) Decision {
+	return Decision{
+		Attempt: attempt, Verdict: Granted,
+		Server: g.server.member.Name, Domain: g.server.member.Domain, Address: g.server.member.Address,
+		SuspectAt: now.Add(pool.suspectIn), Fresh: now.Before(g.server.freshUntil),
+	}
+}
+
+// Held is a grant that an entry instance says it holds.
+type Held struct {
+	Attempt uint64
+	Server  string
+	Team    string
+}
+
+// Renew extends an entry's grants, and takes over those that this pool does not know.
+func (pool *Pool) Renew(now time.Time, entry, domain string, held []Held) {
+	pool.init(now)
+	for _, h := range held {
+		if pool.ended.has(h.Attempt) {
+			continue
+		}
+		g, found := pool.grants[h.Attempt]
+		if !found {
+			s := pool.server(h.Server)
+			if s == nil {
+				continue
+			}
+			s.inFlight++
+			g = grant{server: s, entry: entry, domain: domain, team: h.Team, granted: now}
+		}
+		g.expires = now.Add(leaseLength)
+		pool.grants[h.Attempt] = g
+	}
+}
+
+func (pool *Pool) server(name string) *server {
+	for _, s := range pool.servers {
+		if s.member.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// release frees the slot of a grant.
+func (pool *Pool) release(now time.Time, attempt uint64, g grant) {
+	delete(pool.grants, attempt)
+	pool.ended.add(attempt)
+	g.server.inFlight--
+	if g.verifies {
+		g.server.verifying--
+	}
+	pool.serveWaiters(now)
+}
+
+// Tick ends expired grants and waits, and moves ejected servers on; it returns the probes to send.
+func (pool *Pool) Tick(now time.Time) []Probe {
+	pool.init(now)
+	for attempt, g := range pool.grants {
+		if !now.Before(g.expires) {
+			pool.release(now, attempt, g)
+		}
+	}
+	pool.expireWaiters(now)
+	if now.Sub(pool.lastTick) >= statsInterval {
+		pool.lastTick = now
+		pool.updateSuspectIn(now)
+	}
+	probes := pool.readmit(now)
+	pool.serveWaiters(now)
+	return probes
+}
+
+// MarkLeaving ends grants of new work to a server, on the server's own word.
+func (pool *Pool) MarkLeaving(name string) {
+	if s := pool.server(name); s != nil {
+		s.member.Leaving = true
+	}
+}
--- /dev/null
+++ b/core/pool/report.go
@@ -0,0 +1,207 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Outcome says what became of a granted attempt.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Answered: a whole answer came.
+	Answered Outcome = iota
+	// ServerError: the server answered with a status of 500, 502 or 504.
+	ServerError
+	// Shed: the server refused the request for load, unrun.
+	Shed
+	// ConnectFailed: no connection could be opened, nothing was sent.
+	ConnectFailed
+	// Reset: the connection was lost before the answer.
+	Reset
+	// TimedOut: no first byte came by the deadline.
+	TimedOut
+	// Stalled: the answer's body stopped for too long.
+	Stalled
+	// Truncated: the answer's body ended early.
+	Truncated
+	// Canceled: the caller gave up, or another attempt was faster.
+	Canceled
+	// Unused: the grant was not used.
+	Unused
+)
+
+// outcomeNames are the names in logs and metrics.
+var outcomeNames = [...]string{
+	"answered", "server-error", "shed", "connect-failed", "reset",
+	"timed-out", "stalled", "truncated", "canceled", "unused",
+}
+
+// String returns the outcome's name in logs and metrics.
+func (outcome Outcome) String() string {
+	if int(outcome) < len(outcomeNames) {
+		return outcomeNames[outcome]
+	}
+	return "unknown"
+}
+
+// weight returns how strongly an outcome speaks against the server, 0 to 1.
+func (outcome Outcome) weight() float64 {
+	switch outcome {
+	case ConnectFailed, Reset, TimedOut, Stalled, Truncated:
+		return 1
+	case ServerError:
+		return 0.5
+	}
+	return 0
+}
+
+// Report tells what came of a grant.
+type Report struct {
+	Attempt     uint64
+	Server      string
+	Entry       string
+	Domain      string // failure domain of the entry instance
+	Outcome     Outcome
+	FirstByte   time.Duration // from sending to the first byte, 0 if none came
+	Reused      bool          // the connection had carried a request before
+	Overdue     bool          // interim report: no first byte by SuspectAt, the attempt goes on
+	Leaving     bool          // the server said that it is leaving
+	Fingerprint uint64
+}
+
+// First byte statistics.
+const (
+	coldSuspectIn  = 500 * time.Millisecond
+	leastSuspectIn = 60 * time.Millisecond
+	mostSuspectIn  = 10 * time.Second
+	suspectFactor  = 3.0 // times the slice's median of the servers' 95th percentiles
+	statsInterval  = time.Second
+	statsWindows   = 4
+	windowLength   = 15 * time.Second
+	leastSamples   = 10
+	histogramMost  = int64(10 * time.Minute / time.Microsecond)
+	freshLength    = 10 * time.Second // after a failure on a reused connection
+)
+
+// Report takes in the outcome of an attempt and frees its slot.
+func (pool *Pool) Report(now time.Time, report Report) {
+	pool.init(now)
+	s := pool.server(report.Server)
+	g, held := pool.grants[report.Attempt]
+	if s != nil {
+		pool.judge(now, s, report, held && g.overdue)
+	}
+	switch {
+	case !held:
+	case report.Overdue:
+		g.overdue = true
+		pool.grants[report.Attempt] = g
+	default:
+		pool.release(now, report.Attempt, g)
+	}
+}
+
+// judge adds a report to a server's evidence.
+func (pool *Pool) judge(now time.Time, s *server, report Report, wasOverdue bool) {
+	s.member.Leaving = s.member.Leaving || report.Leaving
+	pool.noteFingerprint(now, s, report)
+	switch {
+	case report.Overdue:
+		pool.failed(now, s, report, 1)
+	case report.Outcome == Answered:
+		pool.answered(now, s, report, wasOverdue)
+	case report.Outcome == Shed:
+		s.shed(now)
+	case report.Outcome.weight() > 0 && !(wasOverdue && report.Outcome == TimedOut):
+		pool.failed(now, s, report, report.Outcome.weight())
+	}
+}
+
+func (pool *Pool) noteFingerprint(now time.Time, s *server, report Report) {
+	if report.Overdue {
+		return
+	}
+	switch report.Outcome {
+	case Reset, Truncated:
+		if !report.Reused {
+			pool.quarantine.Lost(now, report.Fingerprint, s.member.Name)
+		}
+	case Answered:
+		pool.quarantine.Ran(report.Fingerprint)
+	}
+}
+
+func (pool *Pool) answered(now time.Time, s *server, report Report, wasOverdue bool) {
+	s.recordFirstByte(report.FirstByte)
+	if wasOverdue {
+		return
+	}
+	baseline := baselineWithout(now, &pool.baseline, &s.events)
+	s.events.add(now, 0)
+	pool.baseline.add(now, 0)
+	s.evidence.from(report.Domain).succeed(now, baseline)
+	pool.passTrial(now, s)
+}
+
+func (pool *Pool) failed(now time.Time, s *server, report Report, weight float64) {
+	if report.Reused {
+		weight *= reusedWeight
+		s.freshUntil = now.Add(freshLength)
+	}
+	baseline := baselineWithout(now, &pool.baseline, &s.events)
+	s.events.add(now, weight)
+	pool.baseline.add(now, weight)
+	s.evidence.from(report.Domain).fail(now, report.Entry, weight, baseline)
+	if s.phase == trial {
+		pool.eject(now, s)
+		return
+	}
+	pool.considerEjection(now, s)
+}
+
+func (server *server) recordFirstByte(firstByte time.Duration) {
+	if firstByte <= 0 {
+		return
+	}
+	if server.firstBytes == nil {
+		server.firstBytes = hdrhistogram.NewWindowed(statsWindows, 1, histogramMost, 1)
+	}
+	// An error means a value beyond the range, which the statistics can do without.
+	_ = server.firstBytes.Current.RecordValue(min(histogramMost, max(1, firstByte.Microseconds())))
+}
+
+// updateSuspectIn follows the slice's time to the first byte.
+func (pool *Pool) updateSuspectIn(now time.Time) {
+	highs := make([]time.Duration, 0, len(pool.servers))
+	for _, s := range pool.servers {
+		if high, found := s.highFirstByte(now); found {
+			highs = append(highs, high)
+		}
+	}
+	if len(highs) == 0 {
+		return
+	}
+	slices.Sort(highs)
+	median := highs[len(highs)/2]
+	pool.suspectIn = min(mostSuspectIn, max(leastSuspectIn, time.Duration(suspectFactor*float64(median))))
+}
+
+// highFirstByte returns the 95th percentile of the time to the first byte over the latest windows.
+func (server *server) highFirstByte(now time.Time) (time.Duration, bool) {
+	if server.firstBytes == nil {
+		return 0, false
+	}
+	if !now.Before(server.rotateAt) {
+		server.rotateAt = now.Add(windowLength)
+		server.firstBytes.Rotate()
+	}
+	merged := server.firstBytes.Merge()
+	if merged.TotalCount() < leastSamples {
+		return 0, false
+	}
+	return time.Duration(merged.ValueAtQuantile(95)) * time.Microsecond, true
+}
--- /dev/null
+++ b/core/pool/server.go
@@ -0,0 +1,101 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Slow start and load shedding.
+const (
+	rampLength   = 10 * time.Second // from one slot to all after a start or a readmission
+	shedFactor   = 0.7              // slots in use are cut to this share when the server sheds
+	shedRecovery = time.Second      // for each slot to come back after shedding
+)
+
+// phase is where a server stands between service and ejection.
+type phase uint8
+
+const (
+	inService phase = iota
+	ejected         // no work until the deadline
+	probing         // a probe is out
+	trial           // single idempotent requests
+)
+
+// server is a backend server with its load and evidence.
+type server struct {
+	member     Member
+	slots      int
+	inFlight   int
+	verifying  int       // grants out to confirm or clear a suspicion
+	verifyAt   time.Time // no verification before
+	phase      phase
+	until      time.Time // deadline of the phase
+	since      time.Time // start of service after an ejection
+	ejections  int       // ejections in a row
+	trials     int       // trial requests still to pass
+	rampUntil  time.Time
+	shedLimit  float64 // slots left by shedding, 0 for all
+	shedAt     time.Time
+	lastGrant  time.Time
+	freshUntil time.Time // new connections only until then
+	connected  float64   // estimate of open connections
+	countedAt  time.Time // time of the estimate
+	evidence   evidence
+	events     rate
+	firstBytes *hdrhistogram.WindowedHistogram
+	rotateAt   time.Time
+}
+
+// startRamp begins slow start.
+func (server *server) startRamp(now time.Time) {
+	server.rampUntil = now.Add(rampLength)
+}
+
+// limit returns how many requests the server may run now.
+func (server *server) limit(now time.Time) int {
+	if server.phase == trial {
+		return 1
+	}
+	if server.phase != inService {
+		return 0
+	}
+	limit := float64(server.slots) * server.rampShare(now)
+	if server.shedLimit > 0 {
+		limit = min(limit, server.shedLimit+float64(now.Sub(server.shedAt))/float64(shedRecovery))
+	}
+	return max(1, int(limit))
+}
+
+// rampShare returns the share of slots that slow start allows, 0 to 1.
+func (server *server) rampShare(now time.Time) float64 {
+	left := server.rampUntil.Sub(now)
+	if left <= 0 {
+		return 1
+	}
+	return 1 - float64(left)/float64(rampLength)
+}
+
+// shed cuts the slots after the server refused work for load.
+func (server *server) shed(now time.Time) {
+	server.shedLimit = max(1, float64(server.limit(now))*shedFactor)
+	server.shedAt = now
+}
+
+func (server *server) hasRoom(now time.Time) bool {
+	return !server.member.Leaving && server.inFlight < server.limit(now)
+}
+
+// keepConnection counts a grant's connection and reports whether it may stay open afterwards.
+func (server *server) keepConnection(now time.Time, budget int) bool {
+	age := now.Sub(server.countedAt)
+	server.connected *= math.Exp(-float64(age) / float64(connectionTau))
+	server.countedAt = now
+	if server.connected+float64(server.inFlight) >= connectionShare*float64(budget) {
+		return false
+	}
+	server.connected++
+	return true
+}
--- /dev/null
+++ b/core/rules/parse.go
@@ -0,0 +1,293 @@
+package rules
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+	"unicode/utf8"
+)
+
+// Bounds of the values in a rules file.
+const (
+	MaxLineBytes   = 4096
+	maxNameBytes   = 64
+	maxSlots       = 10_000
+	maxConnections = 100_000
+	maxAttempts    = 10
+	maxLimit       = 1e7
+	maxDeadline    = 24 * time.Hour
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindSyntax    Kind = "syntax"
+	KindValue     Kind = "value"
+	KindDuplicate Kind = "duplicate"
+	KindReference Kind = "reference"
+)
+
+// Error is a fault in a rules file, with its place and its fix.
+type Error struct {
+	Op     string // operation, "parse" or "check"
+	Kind   Kind
+	File   string
+	Line   int // from 1
+	Column int // from 1, in characters
+	Reason string
+	Fix    string
+}
+
+// Error returns the fault as file:line:column: reason; fix.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s:%d:%d: %s; %s", e.File, e.Line, e.Column, e.Reason, e.Fix)
+}
+
+// Parse reads a whole rules file and returns the checked set, or every fault joined, each an *Error.
+func Parse(file, text string) (*Set, error) {
+	p := parser{file: file, set: &Set{
+		services: map[string]*Service{},
+		routes:   map[string][]*Route{},
+		teams:    map[string]*Team{},
+	}}
+	for i, line := range strings.Split(text, "\n") {
+		p.parseLine(i+1, strings.TrimSuffix(line, "\r"))
+	}
+	p.checkReferences()
+	if len(p.errs) > 0 {
+		return nil, errors.Join(p.errs...)
+	}
+	return p.set, nil
+}
+
+// word is a token of a line with its column.
+type word struct {
+	text   string
+	column int
+}
+
+type parser struct {
+	file string
+	line int
+	errs []error
+	set  *Set
+}
+
+func (p *parser) fail(kind Kind, column int, reason, fix string) {
+	p.errs = append(p.errs, &Error{Op: "parse", Kind: kind, File: p.file, Line: p.line, Column: column, Reason: reason, Fix: fix})
+}
+
+func (p *parser) parseLine(number int, line string) {
+	p.line = number
+	if !p.checkText(line) {
+		return
+	}
+	body, comment, found := strings.Cut(line, "#")
+	words := splitWords(body)
+	if len(words) == 0 {
+		return
+	}
+	asker := strings.TrimSpace(comment)
+	if !found || asker == "" {
+		p.fail(KindSyntax, utf8.RuneCountInString(line)+1, "the rule does not say who asked for it", "end the line with a comment, such as # asked by: treasury, FG-112")
+		return
+	}
+	switch words[0].text {
+	case "service":
+		p.parseService(words, asker)
+	case "route":
+		p.parseRoute(words, asker)
+	case "team":
+		p.parseTeam(words, asker)
+	default:
+		p.fail(KindSyntax, words[0].column, fmt.Sprintf("unknown rule %q", words[0].text), "begin the line with service, route or team")
+	}
+}
+
+func (p *parser) checkText(line string) bool {
+	if len(line) > MaxLineBytes {
+		p.fail(KindSyntax, 1, fmt.Sprintf("the line has %d bytes", len(line)), fmt.Sprintf("keep it within %d bytes", MaxLineBytes))
+		return false
+	}
+	if !utf8.ValidString(line) {
+		p.fail(KindSyntax, 1, "the line is not valid UTF-8", "save the file as UTF-8")
+		return false
+	}
+	if i := strings.IndexFunc(line, isControl); i >= 0 {
+		p.fail(KindSyntax, utf8.RuneCountInString(line[:i])+1, "the line has a control character", "remove it")
+		return false
+	}
+	return true
+}
+
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
+func splitWords(body string) []word {
+	var words []word
+	start, column, startColumn := -1, 0, 0
+	for i, r := range body {
+		column++
+		space := r == ' ' || r == '\t'
+		if !space && start < 0 {
+			start, startColumn = i, column
+		}
+		if space && start >= 0 {
+			words = append(words, word{body[start:i], startColumn})
+			start = -1
+		}
+	}
+	if start >= 0 {
+		words = append(words, word{body[start:], startColumn})
+	}
+	return words
+}
+
+func (p *parser) parseService(words []word, asker string) {
+	service := &Service{
+		Floor: DefaultFloor, Slots: DefaultSlots, Connections: DefaultConnections,
+		Attempts: DefaultAttempts, Stall: DefaultStall, AskedBy: asker, Line: p.line,
+	}
+	name, ok := p.name(words, "service")
+	service.Name = name
+	ok = p.options(words, options{
+		"floor":       func(o option) bool { return p.percent(o, &service.Floor) },
+		"slots":       func(o option) bool { return p.count(o, maxSlots, &service.Slots) },
+		"connections": func(o option) bool { return p.count(o, maxConnections, &service.Connections) },
+		"attempts":    func(o option) bool { return p.count(o, maxAttempts, &service.Attempts) },
+		"ejection":    func(o option) bool { return p.ejection(o, &service.Ejection) },
+		"limit":       func(o option) bool { return p.rate(o, &service.Limit) },
+		"stall":       func(o option) bool { return p.duration(o, &service.Stall) },
+	}) && ok
+	if !ok {
+		return
+	}
+	if previous := p.set.services[name]; previous != nil {
+		p.duplicate(words[1].column, "service "+name, previous.Line)
+		return
+	}
+	p.set.services[name] = service
+}
+
+func (p *parser) parseRoute(words []word, asker string) {
+	route := &Route{Deadline: DefaultDeadline, AskedBy: asker, Line: p.line}
+	ok := p.prefix(words, &route.Prefix)
+	ok = p.options(words, options{
+		"service":    func(o option) bool { return p.reference(o, &route.Service) },
+		"methods":    func(o option) bool { return p.methods(o, &route.Methods) },
+		"repeatable": func(o option) bool { return p.repeat(o, &route.Repeat) },
+		"deadline":   func(o option) bool { return p.duration(o, &route.Deadline) },
+	}) && ok
+	if !ok {
+		return
+	}
+	if route.Service == "" {
+		p.fail(KindSyntax, words[0].column, "the route names no service", "add service=NAME")
+		return
+	}
+	for _, previous := range p.set.routes[route.Prefix] {
+		if overlaps(previous.Methods, route.Methods) {
+			p.duplicate(words[1].column, "route "+words[1].text, previous.Line)
+			return
+		}
+	}
+	p.addRoute(route)
+}
+
+// addRoute keeps routes with methods before the one for all methods.
+func (p *parser) addRoute(route *Route) {
+	routes := p.set.routes[route.Prefix]
+	if len(route.Methods) > 0 {
+		routes = slices.Insert(routes, 0, route)
+	} else {
+		routes = append(routes, route)
+	}
+	p.set.routes[route.Prefix] = routes
+	p.set.depth = max(p.set.depth, strings.Count(route.Prefix, "/"))
+}
+
+func overlaps(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return len(a) == len(b)
+	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
+
+func (p *parser) parseTeam(words []word, asker string) {
+	team := &Team{AskedBy: asker, Line: p.line}
+	name, ok := p.name(words, "team")
+	team.Name = name
+	ok = p.options(words, options{
+		"limit": func(o option) bool { return p.rate(o, &team.Limit) },
+	}) && ok
+	if !ok {
+		return
+	}
+	if previous := p.set.teams[name]; previous != nil {
+		p.duplicate(words[1].column, "team "+name, previous.Line)
+		return
+	}
+	p.set.teams[name] = team
+}
+
+func (p *parser) checkReferences() {
+	for _, routes := range p.set.routes {
+		for _, route := range routes {
+			if p.set.services[route.Service] != nil {
+				continue
+			}
+			p.line = route.Line
+			p.fail(KindReference, 1, fmt.Sprintf("the route names service %q, which no rule declares", route.Service), "declare it with a line service "+route.Service)
+		}
+	}
+	slices.SortStableFunc(p.errs, func(a, b error) int { return lineOf(a) - lineOf(b) })
+}
+
+func lineOf(err error) int {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Line
+	}
+	return math.MaxInt
+}
+
+func (p *parser) duplicate(column int, what string, line int) {
+	p.fail(KindDuplicate, column, fmt.Sprintf("%s is already declared in line %d", what, line), "keep one of the two lines")
+}
+
+func (p *parser) name(words []word, kind string) (string, bool) {
+	if len(words) < 2 {
+		p.fail(KindSyntax, words[0].column, "the "+kind+" has no name", "write "+kind+" NAME")
+		return "", false
+	}
+	return words[1].text, p.checkName(words[1])
+}
+
+func (p *parser) checkName(w word) bool {
+	valid := len(w.text) > 0 && len(w.text) <= maxNameBytes
+	for _, r := range w.text {
+		valid = valid && (r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-')
+	}
+	if !valid {
+		p.fail(KindValue, w.column, fmt.Sprintf("%q is not a name", w.text), fmt.Sprintf("use up to %d lower-case letters, digits and hyphens", maxNameBytes))
+	}
+	return valid
+}
+
+func (p *parser) prefix(words []word, out *string) bool {
+	if len(words) < 2 || !strings.HasPrefix(words[1].text, "/") {
+		p.fail(KindSyntax, words[0].column, "the route has no path", "write route /PATH service=NAME")
+		return false
+	}
+	w := words[1]
+	if cleanPath(w.text) != strings.TrimSuffix(w.text, "/") {
+		p.fail(KindValue, w.column, fmt.Sprintf("%q is not a clean path", w.text), "write "+cleanPath(w.text))
+		return false
+	}
+	*out = strings.TrimSuffix(w.text, "/")
+	return true
+}
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,135 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	instances "github.com/sequoiaspan/sequoiaspan/adapters/instances/http"
+	store "github.com/sequoiaspan/sequoiaspan/adapters/store/http"
+	"github.com/sequoiaspan/sequoiaspan/configuration"
+	"github.com/sequoiaspan/sequoiaspan/daemon"
+	"github.com/sequoiaspan/sequoiaspan/settings"
+	"github.com/sequoiaspan/sequoiaspan/testing/standin"
+)
+
+const benchRules = `service balances slots=64   # asked by: benchmark
+route /balances service=balances  # asked by: benchmark
+route /releases service=balances repeatable=no  # asked by: benchmark
+`
+
+// fleet is some entry instances and backend servers in this process.
+type fleet struct {
+	settings []settings.Settings
+	backends []*standin.Backend
+}
+
+func newFleet(tb testing.TB, entries, backends int) *fleet {
+	tb.Helper()
+	f := &fleet{}
+	platform := standin.NewPlatform()
+	tb.Cleanup(platform.Close)
+	var servers []instances.Server
+	for i := range backends {
+		b := standin.NewBackend(fmt.Sprintf("balances-%d", i))
+		tb.Cleanup(b.Close)
+		f.backends = append(f.backends, b)
+		servers = append(servers, standin.ListedServer(b, "balances", fmt.Sprintf("domain-%d", i%3)))
+	}
+	var listed []instances.Entry
+	for i := range entries {
+		s, err := standin.EntrySettings(platform, i, 3)
+		must.NoError(tb, err)
+		f.settings = append(f.settings, s)
+		listed = append(listed, standin.ListedEntry(&s))
+	}
+	platform.SetList(listed, servers)
+	_, err := configuration.Publish(tb.Context(), &store.Store{Address: platform.Address()}, "rules", benchRules, "bench", 0, time.Now())
+	must.NoError(tb, err)
+	f.run(tb)
+	for _, s := range f.settings {
+		ctx, cancel := context.WithTimeout(tb.Context(), time.Minute)
+		must.NoError(tb, standin.AwaitReady(ctx, http.DefaultClient, s.Operator, entries, backends))
+		cancel()
+	}
+	return f
+}
+
+// run runs the instances until the test ends; they end at once then.
+func (f *fleet) run(tb testing.TB) {
+	force, end := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for _, s := range f.settings {
+		group.Go(func() { _ = (&daemon.Daemon{Settings: s, Log: zap.NewNop()}).Run(force, force) })
+	}
+	tb.Cleanup(func() {
+		end()
+		group.Wait()
+	})
+}
+
+// remote returns an entry instance that is not the home of the service.
+func (f *fleet) remote(tb testing.TB) netip.AddrPort {
+	tb.Helper()
+	client := &http.Client{}
+	for _, s := range f.settings {
+		send(tb, client, http.MethodGet, s.Caller, "/balances")
+	}
+	for _, s := range f.settings {
+		status, err := standin.Status(tb.Context(), client, s.Operator)
+		must.NoError(tb, err)
+		if len(status.Slices) == 0 {
+			return s.Caller
+		}
+	}
+	tb.Fatal("every instance is a home")
+	return netip.AddrPort{}
+}
+
+func send(tb testing.TB, client *http.Client, method string, at netip.AddrPort, path string) {
+	request, err := http.NewRequestWithContext(tb.Context(), method, "http://"+at.String()+path, nil)
+	must.NoError(tb, err)
+	response, err := client.Do(request)
+	must.NoError(tb, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	must.NoError(tb, err)
+	must.Close(tb, response.Body)
+	must.Eq(tb, http.StatusOK, response.StatusCode)
+}
+
+// BenchmarkAddedTime measures requests through an entry instance that asks a home in another one, and direct
+// requests to the backend server, in turn, and reports the difference at the median and the 99th percentile.
+func BenchmarkAddedTime(b *testing.B) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		b.Run(method, func(b *testing.B) {
+			f := newFleet(b, 3, 3)
+			through, direct := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+			remote, server := f.remote(b), f.backends[0].Address()
+			client := &http.Client{}
+			for b.Loop() {
+				timed(b, direct, func() { send(b, client, method, server, "/balances") })
+				timed(b, through, func() { send(b, client, method, remote, "/balances") })
+			}
+			for _, quantile := range []float64{50, 99} {
+				added := through.ValueAtQuantile(quantile) - direct.ValueAtQuantile(quantile)
+				b.ReportMetric(float64(direct.ValueAtQuantile(quantile)), fmt.Sprintf("direct-p%g-us", quantile))
+				b.ReportMetric(float64(added), fmt.Sprintf("added-p%g-us", quantile))
+			}
+		})
+	}
+}
+
+func timed(b *testing.B, histogram *hdrhistogram.Histogram, f func()) {
+	started := time.Now()
+	f()
+	must.NoError(b, histogram.RecordValue(time.Since(started).Microseconds()))
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,202 @@
+// Package entry is an entry instance: it joins the decisions with the ports through which it acts.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+	"github.com/sequoiaspan/sequoiaspan/core/rules"
+)
+
+// Peer names another entry instance and the address it listens on for this one.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Peers carries messages to other entry instances. Errors mean that no answer came in time.
+type Peers interface {
+	// Ask waits for the final decision; it fails soon when the peer is silent.
+	Ask(ctx context.Context, to Peer, slice home.Slice, ask pool.Ask) (pool.Decision, []pool.Ejected, error)
+	Report(ctx context.Context, to Peer, slice home.Slice, report pool.Report) error
+	Renew(ctx context.Context, to Peer, renewal Renewal) error
+	Claim(ctx context.Context, to Peer, claim idempotency.Claim) (idempotency.Verdict, error)
+	Settle(ctx context.Context, to Peer, settlement idempotency.Settlement) (bool, error)
+	Handover(ctx context.Context, to Peer, handover idempotency.Handover) (idempotency.Keys, bool, error)
+	PullRules(ctx context.Context, to Peer, have uint64) (version uint64, text string, err error)
+	TakeTokens(ctx context.Context, to Peer, team string, want int) (granted int, retryAt time.Time, err error)
+	Leaving(ctx context.Context, to Peer) error
+	// Reachable reports whether the peer answered lately or was not tried.
+	Reachable(peer string) bool
+}
+
+// Store is the platform's configuration store. Revision 0 stands for an absent key.
+type Store interface {
+	Get(ctx context.Context, key string) (value []byte, revision uint64, err error)
+	// Watch returns once the key's revision differs from the given one, or the store's patience ends.
+	Watch(ctx context.Context, key string, revision uint64) (value []byte, newRevision uint64, err error)
+	CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte) (newRevision uint64, err error)
+}
+
+// Instances is the platform's instance list.
+type Instances interface {
+	List(ctx context.Context) (instance.List, error)
+}
+
+// Prober sends health checks to backend servers.
+type Prober interface {
+	Probe(ctx context.Context, address netip.AddrPort) (healthy, leaving bool)
+}
+
+// Renewal lists the grants that an entry instance holds from a home, and its view of ejections.
+type Renewal struct {
+	Slices []SliceRenewal
+}
+
+// SliceRenewal is the part of a Renewal for one slice.
+type SliceRenewal struct {
+	Slice   home.Slice
+	Held    []pool.Held
+	Ejected []pool.Ejected
+}
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindConflict Kind = "conflict" // a compare-and-swap lost against another writer
+	KindAway     Kind = "away"     // the other side did not answer
+	KindRefused  Kind = "refused"  // the other side refused the request
+	KindInvalid  Kind = "invalid"  // the other side's answer makes no sense
+)
+
+var errMalformed = errors.New("malformed value")
+
+// Error is a failure of an operation on a port.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Entry is one entry instance. Its exported fields are set before Run and not changed afterwards.
+type Entry struct {
+	Name        string
+	Domain      string // failure domain
+	Region      string
+	Caller      netip.AddrPort // own addresses, as announced
+	Peer        netip.AddrPort
+	Incarnation idempotency.Incarnation
+	Intervals   Intervals
+
+	Peers     Peers
+	Store     Store
+	Instances Instances
+	Prober    Prober
+	Rulebook  RulesSource
+	Log       *zap.Logger
+	Metrics   metrics.Registry
+	Tracer    trace.Tracer
+	Clock     func() time.Time
+
+	homes    homes // slices that this instance decides
+	alone    homes // slices decided alone while their homes are silent
+	held     held
+	keys     keys
+	rules    rulesHolder
+	members  members
+	limits   limits
+	leaving  atomic.Bool
+	lookups  atomic.Uint64
+	initOnce sync.Once
+}
+
+// Init fills in what is not set; Run calls it, and tests that do not call Run may.
+func (entry *Entry) Init() {
+	entry.initOnce.Do(entry.init)
+}
+
+func (entry *Entry) init() {
+	if entry.Clock == nil {
+		entry.Clock = time.Now
+	}
+	if entry.Log == nil {
+		entry.Log = zap.NewNop()
+	}
+	if entry.Metrics == nil {
+		entry.Metrics = metrics.NewRegistry()
+	}
+	if entry.Tracer == nil {
+		entry.Tracer = noop.NewTracerProvider().Tracer("")
+	}
+	entry.Intervals = entry.Intervals.withDefaults()
+	entry.keys.owner.Self = entry.Incarnation
+	entry.homes.init(false)
+	entry.alone.init(true)
+	entry.members.init()
+	entry.rules.wanted = make(chan Peer, 1)
+	entry.keys.wanted = make(chan struct{}, 1)
+}
+
+// Rules returns the rules in force and their version; version 0 has none.
+func (entry *Entry) Rules() (*rules.Set, uint64) {
+	current := entry.rules.load()
+	return current.set, current.version
+}
+
+// IsLeaving reports whether this instance takes no new work.
+func (entry *Entry) IsLeaving() bool { return entry.leaving.Load() }
+
+// Run keeps the instance's state until the context ends.
+func (entry *Entry) Run(ctx context.Context) error {
+	entry.Init()
+	var group sync.WaitGroup
+	for _, part := range []func(context.Context){
+		entry.followInstances, entry.followRules, entry.followTable,
+		entry.tickHomes, entry.renewGrants, entry.tickKeys,
+	} {
+		group.Go(func() { part(ctx) })
+	}
+	group.Wait()
+	return nil
+}
+
+// every calls f at once and then at intervals until the context ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// count adds to a counter of the instance's metrics.
+func (entry *Entry) count(name string) {
+	metrics.GetOrRegisterCounter(name, entry.Metrics).Inc(1)
+}
--- /dev/null
+++ b/entry/grant.go
@@ -0,0 +1,299 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+)
+
+// Grant is a permission to send one attempt to a backend server. Done must be called once.
+type Grant struct {
+	pool.Decision
+	Slice home.Slice
+
+	entry *Entry
+	ask   pool.Ask
+	peer  Peer   // the home that granted, when another instance
+	local *homes // the pools that granted, when here
+}
+
+// SliceFor returns the slice that decides a request.
+func (entry *Entry) SliceFor(service string, seed uint64) home.Slice {
+	slices := entry.members.plan().slices(service)
+	return home.Slice{Service: service, Index: int(seed % uint64(slices))}
+}
+
+// Acquire asks the slice's home for a grant, then its deputy, then decides alone. The grant is nil when the decision is a refusal.
+func (entry *Entry) Acquire(ctx context.Context, slice home.Slice, ask pool.Ask) (*Grant, pool.Decision) {
+	ask.Entry, ask.Domain = entry.Name, entry.Domain
+	grant := &Grant{Slice: slice, entry: entry, ask: ask}
+	for _, at := range entry.deciders(slice) {
+		if at.Name == entry.Name {
+			return grant.acquireHere(ctx, &entry.homes)
+		}
+		grant.peer = Peer{at.Name, at.Peer}
+		decision, err := entry.askPeer(ctx, grant.peer, slice, ask)
+		if err == nil {
+			return grant.taken(decision)
+		}
+		if ctx.Err() != nil {
+			return nil, pool.Decision{Verdict: pool.Full, RetryAt: entry.Clock()}
+		}
+		entry.count("entry.silent-homes")
+	}
+	entry.count("entry.decided-alone")
+	return grant.acquireHere(ctx, &entry.alone)
+}
+
+// deciders returns a slice's home and deputy; one that was silent lately comes last.
+func (entry *Entry) deciders(slice home.Slice) []instance.Entry {
+	at := entry.members.plan().place(slice)
+	out := make([]instance.Entry, 0, 2)
+	var silent []instance.Entry
+	for _, candidate := range []instance.Entry{at.home, at.deputy} {
+		switch {
+		case candidate.Name == "":
+		case candidate.Name == entry.Name || entry.Peers.Reachable(candidate.Name):
+			out = append(out, candidate)
+		default:
+			silent = append(silent, candidate)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	return silent
+}
+
+// askPeer asks another instance, after telling it of outstanding grants when it is new as this slice's home.
+func (entry *Entry) askPeer(ctx context.Context, to Peer, slice home.Slice, ask pool.Ask) (pool.Decision, error) {
+	if entry.held.isNewHome(slice, to.Name) {
+		// A lost renewal is made good by the next periodic one.
+		_ = entry.Peers.Renew(ctx, to, Renewal{Slices: []SliceRenewal{entry.held.renewal(slice)}})
+	}
+	decision, ejected, err := entry.Peers.Ask(ctx, to, slice, ask)
+	if err != nil {
+		return pool.Decision{}, err
+	}
+	entry.held.setEjected(slice, ejected)
+	return decision, nil
+}
+
+func (grant *Grant) acquireHere(ctx context.Context, local *homes) (*Grant, pool.Decision) {
+	entry := grant.entry
+	grant.local = local
+	now := entry.Clock()
+	if local.alone {
+		entry.restoreAlone(now, grant.Slice)
+	}
+	decisions := make(chan pool.Decision, 2)
+	local.ask(now, &entry.members, grant.Slice, grant.ask, func(d pool.Decision) { decisions <- d })
+	for {
+		select {
+		case decision := <-decisions:
+			if decision.Verdict != pool.Queued {
+				return grant.taken(decision)
+			}
+		case <-ctx.Done():
+			local.withdraw(entry.Clock(), &entry.members, grant.Slice, grant.ask.Attempt)
+			grant.discard(local)
+			return nil, pool.Decision{Verdict: pool.Full, RetryAt: entry.Clock()}
+		}
+	}
+}
+
+// discard frees a grant that was made while its ask was withdrawn.
+func (grant *Grant) discard(local *homes) {
+	now := grant.entry.Clock()
+	local.with(now, &grant.entry.members, grant.Slice, func(sp *slicePool) {
+		sp.pool.Discard(now, grant.ask.Attempt)
+	})
+}
+
+// restoreAlone tells the pool of this instance's own decisions what homes said of ejections.
+func (entry *Entry) restoreAlone(now time.Time, slice home.Slice) {
+	ejected := entry.held.ejectedIn(slice)
+	if len(ejected) == 0 {
+		return
+	}
+	entry.alone.with(now, &entry.members, slice, func(sp *slicePool) { sp.pool.Restore(now, ejected) })
+}
+
+func (grant *Grant) taken(decision pool.Decision) (*Grant, pool.Decision) {
+	if decision.Verdict != pool.Granted {
+		return nil, decision
+	}
+	grant.Decision = decision
+	grant.entry.held.add(grant)
+	return grant, decision
+}
+
+// Overdue reports that no first byte came by the time of suspicion; the grant goes on.
+func (grant *Grant) Overdue(reused bool) {
+	grant.report(pool.Report{Overdue: true, Reused: reused})
+}
+
+// Done ends the grant with the outcome of the attempt.
+func (grant *Grant) Done(report pool.Report) {
+	grant.entry.held.remove(grant.ask.Attempt)
+	grant.entry.count("backend." + report.Outcome.String())
+	grant.report(report)
+}
+
+func (grant *Grant) report(report pool.Report) {
+	entry := grant.entry
+	report.Attempt, report.Server = grant.ask.Attempt, grant.Server
+	report.Entry, report.Domain = entry.Name, entry.Domain
+	report.Fingerprint = grant.ask.Fingerprint
+	if grant.local == nil {
+		// A lost report is made good by the grant's lease.
+		_ = entry.Peers.Report(context.Background(), grant.peer, grant.Slice, report)
+		return
+	}
+	now := entry.Clock()
+	grant.local.with(now, &entry.members, grant.Slice, func(sp *slicePool) { sp.pool.Report(now, report) })
+}
+
+// held is what this instance holds from homes, in case a home is lost.
+type held struct {
+	mu      sync.Mutex
+	grants  map[uint64]*Grant
+	homes   map[home.Slice]string // name of the home asked last
+	ejected map[home.Slice][]pool.Ejected
+}
+
+func (held *held) add(grant *Grant) {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	if held.grants == nil {
+		held.grants = map[uint64]*Grant{}
+	}
+	held.grants[grant.ask.Attempt] = grant
+}
+
+func (held *held) remove(attempt uint64) {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	delete(held.grants, attempt)
+}
+
+// count returns the number of grants held.
+func (held *held) count() int {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	return len(held.grants)
+}
+
+func (held *held) isNewHome(slice home.Slice, name string) bool {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	if held.homes == nil {
+		held.homes = map[home.Slice]string{}
+	}
+	last, known := held.homes[slice]
+	held.homes[slice] = name
+	return known && last != name
+}
+
+func (held *held) setEjected(slice home.Slice, ejected []pool.Ejected) {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	if len(ejected) == 0 {
+		delete(held.ejected, slice)
+		return
+	}
+	if held.ejected == nil {
+		held.ejected = map[home.Slice][]pool.Ejected{}
+	}
+	held.ejected[slice] = ejected
+}
+
+func (held *held) ejectedIn(slice home.Slice) []pool.Ejected {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	return held.ejected[slice]
+}
+
+// renewal returns what to tell a slice's home.
+func (held *held) renewal(slice home.Slice) SliceRenewal {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	out := SliceRenewal{Slice: slice, Ejected: held.ejected[slice]}
+	for attempt, grant := range held.grants {
+		if grant.Slice == slice {
+			out.Held = append(out.Held, pool.Held{Attempt: attempt, Server: grant.Server, Team: grant.ask.Team})
+		}
+	}
+	return out
+}
+
+// slices returns the slices in which grants are held.
+func (held *held) slices() []home.Slice {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	seen := map[home.Slice]bool{}
+	var out []home.Slice
+	for _, grant := range held.grants {
+		if !seen[grant.Slice] {
+			seen[grant.Slice] = true
+			out = append(out, grant.Slice)
+		}
+	}
+	return out
+}
+
+// renewGrants renews the grants held until the context ends.
+func (entry *Entry) renewGrants(ctx context.Context) {
+	every(ctx, entry.Intervals.Renew, entry.renewAll)
+}
+
+func (entry *Entry) renewAll(ctx context.Context) {
+	byHome := map[Peer]*Renewal{}
+	for _, slice := range entry.held.slices() {
+		renewal := entry.held.renewal(slice)
+		entry.renewHere(slice, renewal)
+		deciders := entry.deciders(slice)
+		if len(deciders) == 0 || deciders[0].Name == entry.Name {
+			continue
+		}
+		peer := Peer{deciders[0].Name, deciders[0].Peer}
+		if byHome[peer] == nil {
+			byHome[peer] = &Renewal{}
+		}
+		byHome[peer].Slices = append(byHome[peer].Slices, renewal)
+	}
+	for peer, renewal := range byHome {
+		// The next round makes a lost renewal good; a lease lasts several rounds.
+		_ = entry.Peers.Renew(ctx, peer, *renewal)
+	}
+}
+
+// renewHere renews the grants that this instance's own pools gave.
+func (entry *Entry) renewHere(slice home.Slice, renewal SliceRenewal) {
+	entry.HandleRenew(entry.Name, entry.Domain, Renewal{Slices: []SliceRenewal{renewal}})
+	if !entry.alone.has(slice) {
+		return
+	}
+	now := entry.Clock()
+	alone := entry.held.heldFrom(slice, &entry.alone)
+	entry.alone.with(now, &entry.members, slice, func(sp *slicePool) {
+		sp.pool.Renew(now, entry.Name, entry.Domain, alone)
+	})
+}
+
+// heldFrom returns the grants of a slice that some pools here gave.
+func (held *held) heldFrom(slice home.Slice, local *homes) []pool.Held {
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	var out []pool.Held
+	for attempt, grant := range held.grants {
+		if grant.Slice == slice && grant.local == local {
+			out = append(out, pool.Held{Attempt: attempt, Server: grant.Server, Team: grant.ask.Team})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+)
+
+// HandleAsk decides another instance's ask. Reply is called once, or twice when the first decision is Queued.
+func (entry *Entry) HandleAsk(slice home.Slice, ask pool.Ask, reply func(pool.Decision, []pool.Ejected)) {
+	entry.count("home.asks")
+	now := entry.Clock()
+	entry.homes.ask(now, &entry.members, slice, ask, func(decision pool.Decision) {
+		reply(decision, entry.ejectedIn(slice))
+	})
+}
+
+// ejectedIn returns the ejections that this instance decided for a slice.
+func (entry *Entry) ejectedIn(slice home.Slice) []pool.Ejected {
+	shard := entry.homes.shard(slice)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	sp := shard.pools[slice]
+	if sp == nil {
+		return nil
+	}
+	ejected, _ := sp.pool.Ejections()
+	return ejected
+}
+
+// HandleReport takes in another instance's report.
+func (entry *Entry) HandleReport(slice home.Slice, report pool.Report) {
+	now := entry.Clock()
+	entry.homes.with(now, &entry.members, slice, func(sp *slicePool) {
+		if report.Outcome == pool.Unused {
+			sp.pool.Withdraw(report.Attempt)
+			delete(sp.waiting, report.Attempt)
+		}
+		sp.pool.Report(now, report)
+	})
+}
+
+// HandleRenew takes in an instance's grants and its view of ejections, in the slices that are decided here.
+func (entry *Entry) HandleRenew(name, domain string, renewal Renewal) {
+	now := entry.Clock()
+	for _, r := range renewal.Slices {
+		local := name == entry.Name
+		if local && !entry.homes.has(r.Slice) {
+			continue
+		}
+		entry.homes.with(now, &entry.members, r.Slice, func(sp *slicePool) {
+			sp.pool.Restore(now, r.Ejected)
+			sp.pool.Renew(now, name, domain, r.Held)
+		})
+	}
+}
+
+// has reports whether a slice has a pool here.
+func (homes *homes) has(slice home.Slice) bool {
+	shard := homes.shard(slice)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	return shard.pools[slice] != nil
+}
+
+// HandleClaim decides another instance's claim.
+func (entry *Entry) HandleClaim(claim idempotency.Claim) idempotency.Verdict {
+	return entry.keys.claim(entry.Clock(), claim)
+}
+
+// HandleSettle takes in a settlement and reports whether the key is kept here.
+func (entry *Entry) HandleSettle(settlement idempotency.Settlement) bool {
+	return entry.keys.settle(settlement)
+}
+
+// HandleHandover gives the keys of partitions to their new owner; false means that the table is not known here yet.
+func (entry *Entry) HandleHandover(handover idempotency.Handover) (idempotency.Keys, bool) {
+	keys, known := entry.keys.give(handover)
+	if !known {
+		entry.keys.wantTable()
+	}
+	return keys, known
+}
+
+// HandleVersions takes in the versions that came with another instance's message.
+func (entry *Entry) HandleVersions(from Peer, rulesVersion, tableEpoch uint64) {
+	if rulesVersion > entry.rules.load().version {
+		entry.rules.wantFrom(from)
+	}
+	if tableEpoch > entry.keys.epoch() {
+		entry.keys.wantTable()
+	}
+}
+
+// Versions returns the versions to send along with every message.
+func (entry *Entry) Versions() (rulesVersion, tableEpoch uint64) {
+	return entry.rules.load().version, entry.keys.epoch()
+}
+
+// HandlePullRules returns the rules in force here when they are newer; version 0 stands for none.
+func (entry *Entry) HandlePullRules(have uint64) (uint64, string) {
+	current := entry.rules.load()
+	if current.version <= have {
+		return 0, ""
+	}
+	return current.version, current.text
+}
+
+// HandleTakeTokens grants a part of a team's limit.
+func (entry *Entry) HandleTakeTokens(team string, want int) (int, time.Time) {
+	return entry.limits.grant(entry.Clock(), entry.teamLimit(team), team, want)
+}
+
+// PeerNamed returns a listed instance's name and address.
+func (entry *Entry) PeerNamed(name string) (Peer, bool) {
+	other, listed := entry.members.plan().byName[name]
+	return Peer{name, other.Peer}, listed
+}
--- /dev/null
+++ b/entry/homes.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+)
+
+const homeShards = 32
+
+// homes holds pools in shards, each under its own lock.
+type homes struct {
+	alone  bool // one slot for each server, without the other instances' word
+	shards [homeShards]homeShard
+}
+
+type homeShard struct {
+	mu    sync.Mutex
+	pools map[home.Slice]*slicePool
+}
+
+// slicePool is a pool with those who wait for its decisions.
+type slicePool struct {
+	pool    pool.Pool
+	waiting map[uint64]func(pool.Decision) // by attempt
+	version uint64                         // of rules and list that the pool follows
+}
+
+func (homes *homes) init(alone bool) {
+	homes.alone = alone
+	for i := range homes.shards {
+		homes.shards[i].pools = map[home.Slice]*slicePool{}
+	}
+}
+
+func (homes *homes) shard(slice home.Slice) *homeShard {
+	return &homes.shards[(xxhash.Sum64String(slice.Service)+uint64(slice.Index))%homeShards]
+}
+
+// with calls f with the slice's pool, brought up to date, under its lock; decisions that f made ready are delivered after it.
+func (homes *homes) with(now time.Time, members *members, slice home.Slice, f func(*slicePool)) {
+	shard := homes.shard(slice)
+	shard.mu.Lock()
+	sp := shard.pools[slice]
+	if sp == nil {
+		sp = &slicePool{waiting: map[uint64]func(pool.Decision){}}
+		shard.pools[slice] = sp
+	}
+	homes.refresh(now, members, slice, sp)
+	f(sp)
+	deliveries := sp.deliveries()
+	shard.mu.Unlock()
+	for _, d := range deliveries {
+		d.to(d.decision)
+	}
+}
+
+// refresh applies newer rules and lists to a pool.
+func (homes *homes) refresh(now time.Time, members *members, slice home.Slice, sp *slicePool) {
+	plan := members.plan()
+	if sp.version == plan.version {
+		return
+	}
+	sp.version = plan.version
+	policy, servers := plan.pool(slice)
+	if homes.alone {
+		policy.Slots = 1
+		for i := range servers {
+			servers[i].Slots = 1
+		}
+	}
+	sp.pool.SetPolicy(policy)
+	sp.pool.SetServers(now, servers)
+}
+
+type delivery struct {
+	to       func(pool.Decision)
+	decision pool.Decision
+}
+
+func (sp *slicePool) deliveries() []delivery {
+	var out []delivery
+	for {
+		decision, found := sp.pool.Next()
+		if !found {
+			return out
+		}
+		if to := sp.waiting[decision.Attempt]; to != nil {
+			delete(sp.waiting, decision.Attempt)
+			out = append(out, delivery{to, decision})
+		}
+	}
+}
+
+// ask passes an ask to the slice's pool. Reply is called once, or twice when the first decision is Queued.
+func (homes *homes) ask(now time.Time, members *members, slice home.Slice, ask pool.Ask, reply func(pool.Decision)) {
+	var decision pool.Decision
+	homes.with(now, members, slice, func(sp *slicePool) {
+		decision = sp.pool.Ask(now, ask)
+		if decision.Verdict == pool.Queued {
+			sp.waiting[ask.Attempt] = reply
+		}
+	})
+	reply(decision)
+}
+
+// withdraw drops a queued ask.
+func (homes *homes) withdraw(now time.Time, members *members, slice home.Slice, attempt uint64) {
+	homes.with(now, members, slice, func(sp *slicePool) {
+		sp.pool.Withdraw(attempt)
+		delete(sp.waiting, attempt)
+	})
+}
+
+// slices returns the slices that have a pool here.
+func (homes *homes) slices() []home.Slice {
+	var out []home.Slice
+	for i := range homes.shards {
+		shard := &homes.shards[i]
+		shard.mu.Lock()
+		for slice := range shard.pools {
+			out = append(out, slice)
+		}
+		shard.mu.Unlock()
+	}
+	return out
+}
+
+// tickHomes moves all pools on until the context ends.
+func (entry *Entry) tickHomes(ctx context.Context) {
+	every(ctx, entry.Intervals.Tick, func(ctx context.Context) {
+		entry.tick(ctx, &entry.homes)
+		entry.tick(ctx, &entry.alone)
+	})
+}
+
+func (entry *Entry) tick(ctx context.Context, homes *homes) {
+	now := entry.Clock()
+	for _, slice := range homes.slices() {
+		var probes []pool.Probe
+		homes.with(now, &entry.members, slice, func(sp *slicePool) { probes = sp.pool.Tick(now) })
+		for _, probe := range probes {
+			go entry.probe(ctx, homes, slice, probe)
+		}
+	}
+}
+
+// probeTimeout bounds one health check.
+const probeTimeout = time.Second
+
+func (entry *Entry) probe(ctx context.Context, homes *homes, slice home.Slice, probe pool.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	entry.count("home.probes")
+	healthy, leaving := entry.Prober.Probe(ctx, probe.Address)
+	now := entry.Clock()
+	homes.with(now, &entry.members, slice, func(sp *slicePool) {
+		if leaving {
+			sp.pool.MarkLeaving(probe.Server)
+		}
+		sp.pool.Probed(now, probe.Server, healthy)
+	})
+}
--- /dev/null
+++ b/entry/limits.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/limit"
+)
+
+const limitShards = 32
+
+// limits holds the team limits: the buckets of the teams counted here, and the tokens taken from other instances.
+type limits struct {
+	shards [limitShards]limitShard
+}
+
+type limitShard struct {
+	mu      sync.Mutex
+	buckets map[string]*limit.Bucket
+	shares  map[string]*limit.Share
+}
+
+func (limits *limits) shard(team string) *limitShard {
+	return &limits.shards[xxhash.Sum64String(team)%limitShards]
+}
+
+// grant takes tokens from a team counted here.
+func (limits *limits) grant(now time.Time, rate float64, team string, want int) (int, time.Time) {
+	shard := limits.shard(team)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if shard.buckets == nil {
+		shard.buckets = map[string]*limit.Bucket{}
+	}
+	bucket := shard.buckets[team]
+	if bucket == nil {
+		bucket = &limit.Bucket{}
+		shard.buckets[team] = bucket
+	}
+	return bucket.Take(now, rate, want)
+}
+
+func (entry *Entry) teamLimit(team string) float64 {
+	set, _ := entry.Rules()
+	if rule := set.Team(team); rule != nil {
+		return rule.Limit
+	}
+	return 0
+}
+
+// Admit takes one token of a team's limit, or says when to come back.
+//
+// Each team is counted by one instance; the others take small shares of tokens from it. While the
+// counting instance is silent, each instance admits its part of the limit.
+func (entry *Entry) Admit(ctx context.Context, team string) (time.Time, bool) {
+	rate := entry.teamLimit(team)
+	if rate <= 0 {
+		return time.Time{}, true
+	}
+	now := entry.Clock()
+	if retryAt, decided, admitted := entry.limits.spend(now, team); decided {
+		return retryAt, admitted
+	}
+	plan := entry.members.plan()
+	first, _ := home.Choose(home.Slice{Service: "team:" + team}, plan.candidates)
+	if first < 0 || plan.candidates[first].Entry.Name == entry.Name {
+		granted, retryAt := entry.limits.grant(now, rate, team, 1)
+		return retryAt, granted > 0
+	}
+	counter := plan.candidates[first].Entry
+	granted, retryAt, err := entry.Peers.TakeTokens(ctx, Peer{counter.Name, counter.Peer}, team, limit.ShareSize(rate, len(plan.candidates)))
+	if err != nil {
+		entry.count("limits.silent-counters")
+		granted, retryAt = entry.limits.grant(now, rate/float64(len(plan.candidates)), team, 1)
+	}
+	return entry.limits.store(now, team, granted, retryAt)
+}
+
+// spend uses a token of the share at hand; decided is false when the counter is to be asked.
+func (limits *limits) spend(now time.Time, team string) (retryAt time.Time, decided, admitted bool) {
+	shard := limits.shard(team)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	share := shard.shares[team]
+	if share == nil {
+		return time.Time{}, false, false
+	}
+	return share.Spend(now)
+}
+
+// store keeps a share and spends its first token.
+func (limits *limits) store(now time.Time, team string, granted int, retryAt time.Time) (time.Time, bool) {
+	shard := limits.shard(team)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if shard.shares == nil {
+		shard.shares = map[string]*limit.Share{}
+	}
+	share := shard.shares[team]
+	if share == nil {
+		share = &limit.Share{}
+		shard.shares[team] = share
+	}
+	share.Add(now, granted, retryAt)
+	retryAt, _, admitted := share.Spend(now)
+	return retryAt, admitted
+}
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+	"github.com/sequoiaspan/sequoiaspan/core/rules"
+)
+
+// members is what this instance knows of entry instances and backend servers.
+type members struct {
+	mu      sync.Mutex
+	view    instance.View
+	current atomic.Pointer[plan]
+}
+
+// plan is one immutable combination of rules and list.
+type plan struct {
+	version    uint64
+	set        *rules.Set
+	entries    []instance.Entry
+	candidates []home.Candidate
+	byName     map[string]instance.Entry
+	servers    map[string][]instance.Server // by service
+
+	placeMu sync.RWMutex
+	places  map[home.Slice]place
+}
+
+// place is where a slice is decided; an empty name means nowhere.
+type place struct {
+	home, deputy instance.Entry
+}
+
+func (members *members) init() {
+	members.current.Store(newPlan(0, &rules.Set{}, nil, nil))
+}
+
+func (members *members) plan() *plan { return members.current.Load() }
+
+func newPlan(version uint64, set *rules.Set, entries []instance.Entry, servers []instance.Server) *plan {
+	p := &plan{
+		version: version, set: set, entries: entries,
+		candidates: home.Candidates(entries),
+		byName:     map[string]instance.Entry{},
+		servers:    map[string][]instance.Server{},
+		places:     map[home.Slice]place{},
+	}
+	for _, e := range entries {
+		p.byName[e.Name] = e
+	}
+	for _, s := range servers {
+		p.servers[s.Service] = append(p.servers[s.Service], s)
+	}
+	return p
+}
+
+// rebuild makes a new plan after a change of rules or members.
+func (members *members) rebuild(now time.Time, set *rules.Set) {
+	members.mu.Lock()
+	defer members.mu.Unlock()
+	old := members.plan()
+	if set == nil {
+		set = old.set
+	}
+	members.current.Store(newPlan(old.version+1, set, members.view.Entries(now), members.view.Servers(now)))
+}
+
+// slices returns how many slices a service has.
+func (plan *plan) slices(service string) int {
+	return home.Slices(len(plan.servers[service]))
+}
+
+// place returns a slice's home and deputy.
+func (plan *plan) place(slice home.Slice) place {
+	plan.placeMu.RLock()
+	found, known := plan.places[slice]
+	plan.placeMu.RUnlock()
+	if known {
+		return found
+	}
+	first, deputy := home.Choose(slice, plan.candidates)
+	if first >= 0 {
+		found.home = plan.candidates[first].Entry
+	}
+	if deputy >= 0 {
+		found.deputy = plan.candidates[deputy].Entry
+	}
+	plan.placeMu.Lock()
+	plan.places[slice] = found
+	plan.placeMu.Unlock()
+	return found
+}
+
+// pool returns the policy and the members of a slice's pool.
+func (plan *plan) pool(slice home.Slice) (pool.Policy, []pool.Member) {
+	slices := plan.slices(slice.Service)
+	policy := pool.Policy{}
+	if service := plan.set.Service(slice.Service); service != nil {
+		policy = pool.PolicyOf(service, slices)
+	}
+	var out []pool.Member
+	for _, s := range plan.servers[slice.Service] {
+		if home.IndexOf(s.Name, slices) != slice.Index {
+			continue
+		}
+		out = append(out, pool.Member{
+			Name: s.Name, Domain: s.Domain, Address: s.Address, Slots: s.Slots, Leaving: s.State == instance.Leaving,
+		})
+	}
+	return policy, out
+}
+
+// followInstances reads the instance list until the context ends.
+func (entry *Entry) followInstances(ctx context.Context) {
+	every(ctx, entry.Intervals.List, entry.readInstances)
+}
+
+func (entry *Entry) readInstances(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 5*entry.Intervals.List)
+	defer cancel()
+	list, err := entry.Instances.List(ctx)
+	if err != nil {
+		entry.count("instances.errors")
+		entry.Log.Warn("instances: the list could not be read, the known one stays", zap.Error(err))
+		return
+	}
+	entry.ApplyList(list)
+}
+
+// ApplyList takes in a reading of the instance list.
+func (entry *Entry) ApplyList(list instance.List) {
+	now := entry.Clock()
+	entry.members.mu.Lock()
+	if entry.members.view.Confirm(list) {
+		entry.members.mu.Unlock()
+		entry.sightInList(list)
+		return
+	}
+	before := entry.members.view.Digest(now)
+	taken := entry.members.view.Apply(list)
+	changed := taken && entry.members.view.Digest(now) != before
+	entry.members.mu.Unlock()
+	if !taken {
+		entry.Log.Warn("instances: a stale or empty list was not taken")
+		return
+	}
+	if changed {
+		entry.members.rebuild(now, nil)
+		entry.Log.Info("instances: the list changed", zap.Int("entries", len(list.Entries)), zap.Int("backend-servers", len(list.Servers)))
+	}
+	entry.sightInList(list)
+}
+
+// MarkLeaving takes in another instance's own word that it is leaving.
+func (entry *Entry) MarkLeaving(name string) {
+	now := entry.Clock()
+	entry.members.mu.Lock()
+	entry.members.view.MarkLeaving(now, name)
+	entry.members.mu.Unlock()
+	entry.members.rebuild(now, nil)
+	entry.Log.Info("instances: an instance says that it is leaving", zap.String("instance", name))
+}
+
+// MarkStarted takes in another instance's word that it has started.
+func (entry *Entry) MarkStarted(name string) {
+	entry.members.mu.Lock()
+	cleared := entry.members.view.ClearLeaving(name)
+	entry.members.mu.Unlock()
+	if cleared {
+		entry.members.rebuild(entry.Clock(), nil)
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,221 @@
+// Package settings reads and checks the settings file of an entry instance.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Settings are all settings of an entry instance.
+type Settings struct {
+	Name          string         `toml:"name"`
+	Domain        string         `toml:"failure-domain"`
+	Region        string         `toml:"region"`
+	Caller        netip.AddrPort `toml:"caller-address"`
+	Peer          netip.AddrPort `toml:"peer-address"`
+	Operator      netip.AddrPort `toml:"operator-address"`
+	Store         netip.AddrPort `toml:"store-address"`
+	Instances     netip.AddrPort `toml:"instance-list-address"`
+	LogLevel      string         `toml:"log-level"`
+	Limits        Limits         `toml:"limits"`
+	Intervals     Intervals      `toml:"intervals"`
+	Traces        Traces         `toml:"traces"`
+	JitterSeed    uint64         `toml:"jitter-seed"`
+	GoMemoryLimit int64          `toml:"memory-limit-bytes"`
+}
+
+// Limits bound what callers and peers may take.
+type Limits struct {
+	HeaderBytes       int      `toml:"header-bytes"`
+	HeaderTime        Duration `toml:"header-time"`
+	IdleTime          Duration `toml:"idle-time"`
+	CallerConnections int      `toml:"caller-connections"`
+	PeerSessions      int      `toml:"peer-sessions"`
+}
+
+// Intervals are the periods of an instance's own work.
+type Intervals struct {
+	InstanceList Duration `toml:"instance-list"`
+	KeyTable     Duration `toml:"key-table"`
+	PeerSilence  Duration `toml:"peer-silence"`
+}
+
+// Traces say where spans go.
+type Traces struct {
+	Exporter string `toml:"exporter"` // off, stdout or otlp
+	Endpoint string `toml:"endpoint"` // of an OTLP collector, as host:port
+}
+
+// Duration is a time.Duration written like 30s.
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (duration *Duration) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	*duration = Duration(d)
+	return err
+}
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindUnreadable Kind = "unreadable"
+	KindSyntax     Kind = "syntax"
+	KindUnknown    Kind = "unknown-key"
+	KindValue      Kind = "value"
+)
+
+// Error is one fault of the settings.
+type Error struct {
+	Op     string
+	Kind   Kind
+	File   string
+	Line   int // 0 when the fault has no line
+	Field  string
+	Reason string
+}
+
+// Error returns the fault as file:line: field: reason.
+func (e *Error) Error() string {
+	place := e.File
+	if e.Line > 0 {
+		place = fmt.Sprintf("%s:%d", e.File, e.Line)
+	}
+	if e.Field == "" {
+		return place + ": " + e.Reason
+	}
+	return place + ": " + e.Field + ": " + e.Reason
+}
+
+// Defaults returns the settings that a file need not give.
+func Defaults() Settings {
+	return Settings{
+		LogLevel: "info",
+		Limits: Limits{
+			HeaderBytes: 64 << 10, HeaderTime: Duration(10 * time.Second), IdleTime: Duration(2 * time.Minute),
+			CallerConnections: 10_000, PeerSessions: 4096,
+		},
+		Intervals: Intervals{
+			InstanceList: Duration(time.Second), KeyTable: Duration(3 * time.Second), PeerSilence: Duration(100 * time.Millisecond),
+		},
+		Traces: Traces{Exporter: "off"},
+	}
+}
+
+// Load reads a settings file, lets environment variables override it, and checks the whole.
+//
+// A variable is named SEQUOIASPAN_ and the key in capitals with underscores. Every fault is reported, joined.
+func Load(file string, environment []string) (Settings, error) {
+	settings := Defaults()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return settings, &Error{Op: "load", Kind: KindUnreadable, File: file, Reason: err.Error()}
+	}
+	faults := decode(file, string(text), &settings)
+	faults = append(faults, override(environment, &settings)...)
+	if len(faults) == 0 {
+		faults = settings.check(file, string(text))
+	}
+	return settings, errors.Join(faults...)
+}
+
+// decodeFault matches the messages of the TOML library for one bad value.
+var decodeFault = regexp.MustCompile(`^toml: line (\d+) \(last key "([^"]+)"\): (.*)$`)
+
+// decode reads the text and blanks out bad values one by one, so that one does not hide the next.
+func decode(file, text string, settings *Settings) []error {
+	if fault := checkSyntax(file, text); fault != nil {
+		return []error{fault}
+	}
+	var faults []error
+	lines := strings.Split(text, "\n")
+	for {
+		*settings = Defaults()
+		meta, err := toml.Decode(strings.Join(lines, "\n"), settings)
+		if err == nil {
+			return append(faults, unknownKeys(file, text, meta)...)
+		}
+		found := decodeFault.FindStringSubmatch(err.Error())
+		if found == nil {
+			return append(faults, &Error{Op: "load", Kind: KindValue, File: file, Reason: err.Error()})
+		}
+		line, _ := strconv.Atoi(found[1])
+		faults = append(faults, &Error{Op: "load", Kind: KindValue, File: file, Line: line, Field: found[2], Reason: found[3]})
+		lines[line-1] = ""
+	}
+}
+
+func checkSyntax(file, text string) error {
+	var parse toml.ParseError
+	_, err := toml.Decode(text, &map[string]any{})
+	if errors.As(err, &parse) {
+		return &Error{Op: "load", Kind: KindSyntax, File: file, Line: parse.Position.Line, Field: parse.LastKey, Reason: parse.Message}
+	}
+	return err
+}
+
+func unknownKeys(file, text string, meta toml.MetaData) []error {
+	var faults []error
+	for _, key := range meta.Undecoded() {
+		faults = append(faults, &Error{
+			Op: "load", Kind: KindUnknown, File: file, Line: lineOf(text, key[len(key)-1]),
+			Field: key.String(), Reason: "there is no such setting",
+		})
+	}
+	return faults
+}
+
+// lineOf returns the first line that sets a key, or 0.
+func lineOf(text, key string) int {
+	name := key[strings.LastIndexByte(key, '.')+1:]
+	for i, line := range strings.Split(text, "\n") {
+		before, _, found := strings.Cut(line, "=")
+		if found && strings.Trim(before, " \t\"'") == name {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// environmentPrefix begins the names of environment variables that override settings.
+const environmentPrefix = "SEQUOIASPAN_"
+
+// override applies environment variables to the top-level settings.
+func override(environment []string, settings *Settings) []error {
+	var faults []error
+	for _, variable := range environment {
+		name, value, _ := strings.Cut(variable, "=")
+		key, found := strings.CutPrefix(name, environmentPrefix)
+		if !found {
+			continue
+		}
+		key = strings.ReplaceAll(strings.ToLower(key), "_", "-")
+		meta, err := toml.Decode(key+" = "+quoteUnlessNumber(value), settings)
+		if err == nil && len(meta.Undecoded()) == 0 {
+			continue
+		}
+		reason := "there is no such setting"
+		if err != nil {
+			reason = err.Error()
+		}
+		faults = append(faults, &Error{Op: "load", Kind: KindValue, File: "environment", Field: name, Reason: reason})
+	}
+	return faults
+}
+
+func quoteUnlessNumber(value string) string {
+	if _, err := strconv.ParseInt(value, 10, 64); err == nil {
+		return value
+	}
+	return strconv.Quote(value)
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,72 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func load(t *testing.T, text string, environment ...string) (Settings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	must.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return Load(file, environment)
+}
+
+func example(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("example.toml")
+	must.NoError(t, err)
+	return string(text)
+}
+
+func TestExampleIsValid(t *testing.T) {
+	settings, err := load(t, example(t))
+	must.NoError(t, err)
+	must.Eq(t, "entry-1", settings.Name)
+	must.Eq(t, "10.0.0.7:8080", settings.Caller.String())
+}
+
+func TestEveryFaultIsReportedAtOnce(t *testing.T) {
+	text := strings.NewReplacer(
+		`name = "entry-1"`, `name = 7`,
+		`caller-address = "10.0.0.7:8080"`, `caller-address = "nowhere"`,
+		`header-time = "10s"`, `header-time = "soon"`,
+		`log-level = "info"`, "log-level = \"info\"\ncolour = \"red\"",
+	).Replace(example(t))
+	_, err := load(t, text)
+	must.Error(t, err)
+	for _, want := range []string{"name: ", "caller-address: ", "limits.header-time: ", "colour: there is no such setting"} {
+		must.StrContains(t, err.Error(), want)
+	}
+}
+
+func TestValuesAreChecked(t *testing.T) {
+	cases := []struct{ name, from, to, want string }{
+		{"same address", `peer-address = "10.0.0.7:8081"`, `peer-address = "10.0.0.7:8080"`, "it is the same as caller-address"},
+		{"no name", `name = "entry-1"`, `name = ""`, "it must be set"},
+		{"range", "header-bytes = 65536", "header-bytes = 1", "use a number from"},
+		{"interval", `key-table = "3s"`, `key-table = "3h"`, "use a duration from"},
+		{"unspecified", `caller-address = "10.0.0.7:8080"`, `caller-address = "0.0.0.0:8080"`, "must name one interface"},
+		{"collector", `exporter = "off"`, `exporter = "otlp"`, "otlp needs a collector"},
+		{"syntax", "[limits]", "[limits", "settings.toml:"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := load(t, strings.Replace(example(t), c.from, c.to, 1))
+			must.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+func TestEnvironmentOverridesTheFile(t *testing.T) {
+	settings, err := load(t, example(t), "SEQUOIASPAN_NAME=entry-9", "SEQUOIASPAN_JITTER_SEED=5", "PATH=/bin")
+	must.NoError(t, err)
+	must.Eq(t, "entry-9", settings.Name)
+	must.Eq(t, 5, settings.JitterSeed)
+	_, err = load(t, example(t), "SEQUOIASPAN_NAMES=x")
+	must.ErrorContains(t, err, "there is no such setting")
+}
--- /dev/null
+++ b/testing/scenario/relay_test.go
@@ -0,0 +1,113 @@
+package scenario
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// relay stands between an entry instance's peer address and those who connect to it, and can go silent one way.
+type relay struct {
+	listener net.Listener
+	target   netip.AddrPort
+	mu       sync.Mutex
+	open     *sync.Cond
+	inCut    bool // nothing reaches the target
+	outCut   bool // nothing comes back
+	closed   bool
+}
+
+func newRelay(target netip.AddrPort) (*relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: listener, target: target}
+	r.open = sync.NewCond(&r.mu)
+	go r.serve()
+	return r, nil
+}
+
+func (r *relay) address() netip.AddrPort { return r.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+func (r *relay) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.open.Broadcast()
+	_ = r.listener.Close()
+}
+
+// set changes what is cut.
+func (r *relay) set(in, out bool) {
+	r.mu.Lock()
+	r.inCut, r.outCut = in, out
+	r.mu.Unlock()
+	r.open.Broadcast()
+}
+
+func (r *relay) serve() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(conn)
+	}
+}
+
+func (r *relay) pass(conn net.Conn) {
+	defer conn.Close()
+	target, err := net.Dial("tcp", r.target.String())
+	if err != nil {
+		return
+	}
+	defer target.Close()
+	go r.copy(target, conn, &r.inCut)
+	r.copy(conn, target, &r.outCut)
+}
+
+// copy passes bytes on; while its way is cut they wait, as in a network that lost them and sends them again.
+func (r *relay) copy(to, from net.Conn, cut *bool) {
+	defer to.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		r.mu.Lock()
+		for *cut && !r.closed {
+			r.open.Wait()
+		}
+		closed := r.closed
+		r.mu.Unlock()
+		if closed {
+			return
+		}
+		if _, writeErr := to.Write(buffer[:n]); writeErr != nil || err == io.EOF || err != nil {
+			return
+		}
+	}
+}
+
+// cmdRelay lists an entry instance under a relay's address: relay INSTANCE.
+func cmdRelay(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	p, err := w.entry(args[0])
+	ts.Check(err)
+	r, err := newRelay(p.settings.Peer)
+	ts.Check(err)
+	w.relays[args[0]] = r
+	p.relayed = r.address()
+	w.publishList()
+}
+
+// cmdCut cuts what reaches an entry instance from others, what it answers them, both or none: cut in|out|both|none INSTANCE.
+func cmdCut(ts *testscript.TestScript, _ bool, args []string) {
+	r := worldOf(ts).relays[args[1]]
+	if r == nil {
+		ts.Fatalf("%s has no relay", args[1])
+	}
+	r.set(args[0] == "in" || args[0] == "both", args[0] == "out" || args[0] == "both")
+}
