--- a/core/idempotency/handover.go
+++ b/core/idempotency/handover.go
@@ -86,34 +86,37 @@
 
 // Actions are what an owner wants done.
 type Actions struct {
-	Ask     map[Incarnation]Handover // handovers to request
-	Confirm map[int]uint64           // settled partitions to their epochs, to be confirmed in the table
+	Ask      map[Incarnation]Handover // handovers to request
+	Swap     *Table                   // table to write, nil for none
+	Revision uint64                   // of the table that the one to write replaces
+	Reason   string                   // for the table's change
 }
 
-// Tick settles gone earlier owners whose fence is over, and returns what is to be done.
-func (owner *Owner) Tick(now time.Time) Actions {
-	actions := Actions{Ask: map[Incarnation]Handover{}, Confirm: map[int]uint64{}}
+// tick settles gone earlier owners whose fence is over; it returns the handovers to request, and the settled
+// partitions with their epochs, to be confirmed in the table.
+func (owner *Owner) tick(now time.Time) (ask map[Incarnation]Handover, confirm map[int]uint64) {
+	ask, confirm = map[Incarnation]Handover{}, map[int]uint64{}
 	owner.expire(now)
 	for p, part := range owner.partitions {
 		if !part.owned {
 			continue
 		}
 		owner.settleGone(now, part)
-		owner.askEarlier(now, p, part, &actions)
+		owner.askEarlier(now, p, part, ask)
 		if len(part.waiting) == 0 && len(owner.table.Partitions[p].Pending) > 0 {
-			actions.Confirm[p] = part.since
+			confirm[p] = part.since
 		}
 	}
-	return actions
+	return ask, confirm
 }
 
-// settleGone ends the wait for earlier owners that have been gone for the fence's length.
+// settleGone ends the wait for earlier owners that have been gone for the fence's length, by the list's own time.
 //
 // Whatever they remembered is lost: keys born before now are unknown from here on.
 func (owner *Owner) settleGone(now time.Time, part *partition) {
 	for earlier := range part.waiting {
 		since, gone := owner.absent[earlier]
-		if !gone || now.Before(since.Add(FenceLength)) {
+		if !gone || owner.presentAt.Before(since.Add(FenceLength)) {
 			continue
 		}
 		part.raiseFloor(now.Add(2 * Skew))
@@ -121,16 +124,16 @@
 	}
 }
 
-func (owner *Owner) askEarlier(now time.Time, p int, part *partition, actions *Actions) {
+func (owner *Owner) askEarlier(now time.Time, p int, part *partition, ask map[Incarnation]Handover) {
 	for earlier, nextAt := range part.waiting {
 		if now.Before(nextAt) {
 			continue
 		}
 		part.waiting[earlier] = now.Add(handoverEvery)
-		handover := actions.Ask[earlier]
+		handover := ask[earlier]
 		handover.Taker, handover.Epoch = owner.Self, owner.table.Epoch
 		handover.Partitions = append(handover.Partitions, p)
-		actions.Ask[earlier] = handover
+		ask[earlier] = handover
 	}
 }
 
--- a/core/idempotency/owner.go
+++ b/core/idempotency/owner.go
@@ -1,6 +1,7 @@
 package idempotency
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -11,6 +12,7 @@
 	notReadyRetry = time.Second
 	progressRetry = time.Second
 	expireEvery   = time.Minute
+	listGap       = 3 * time.Second // longest time between readings of the list that count as one view
 )
 
 // Owner is one entry instance's part in keeping idempotency keys; Self must be set.
@@ -21,7 +23,8 @@
 
 	table      *Table
 	sightUntil time.Time
-	absent     map[Incarnation]time.Time // earlier owners to the time since which they are gone
+	absent     map[Incarnation]time.Time // earlier owners to the time since which the list does not show them
+	presentAt  time.Time                 // time of the latest list
 	partitions map[int]*partition
 	expireAt   time.Time
 }
@@ -95,30 +98,28 @@
 // Serving reports whether the latest sight is young enough to serve.
 func (owner *Owner) Serving(now time.Time) bool { return now.Before(owner.sightUntil) }
 
-// Present takes in which names the instance list shows. A pending earlier owner whose name is
-// missing, or has a newer incarnation in the table, counts as gone from then on; one that shows up again does not.
-func (owner *Owner) Present(now time.Time, present func(Incarnation) bool) {
-	if owner.absent == nil {
+// Present takes in a reading of the instance list as of a time. A pending earlier owner that it does not show
+// counts as gone from then on; one that shows up again does not. After a gap between readings the time starts anew,
+// as an instance may have been listed meanwhile.
+func (owner *Owner) Present(at time.Time, present func(Incarnation) bool) {
+	if owner.absent == nil || at.Sub(owner.presentAt) > listGap {
 		owner.absent = map[Incarnation]time.Time{}
 	}
+	owner.presentAt = at
 	pending := map[Incarnation]bool{}
 	for _, part := range owner.partitions {
 		for earlier := range part.waiting {
 			pending[earlier] = true
 		}
 	}
-	for earlier := range owner.absent {
-		if !pending[earlier] {
-			delete(owner.absent, earlier)
-		}
-	}
+	maps.DeleteFunc(owner.absent, func(earlier Incarnation, _ time.Time) bool { return !pending[earlier] })
 	for earlier := range pending {
 		_, since := owner.absent[earlier]
 		switch {
 		case present(earlier):
 			delete(owner.absent, earlier)
 		case !since:
-			owner.absent[earlier] = now
+			owner.absent[earlier] = at
 		}
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -151,7 +151,7 @@
 		entry.Tracer = noop.NewTracerProvider().Tracer("")
 	}
 	entry.Intervals = entry.Intervals.withDefaults()
-	entry.keys.owner.Self = entry.Incarnation
+	entry.keys.keeper.Self = entry.Incarnation
 	entry.homes.init(false)
 	entry.alone.init(true)
 	entry.members.init()
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,6 @@
 // Timing of the key table.
 const (
 	keyTick       = 250 * time.Millisecond
-	dropAfter     = 3 * time.Second // a member missing from the list for this long is dropped
 	settleTries   = 5
 	claimTries    = 4
 	claimPause    = 20 * time.Millisecond
@@ -28,35 +28,33 @@
 
 // keys is this instance's part in keeping idempotency keys.
 type keys struct {
-	mu       sync.Mutex
-	owner    idempotency.Owner
-	revision uint64 // of the table in the store
-	missing  map[idempotency.Incarnation]time.Time
-	wanted   chan struct{}
+	mu     sync.Mutex
+	keeper idempotency.Keeper
+	wanted chan struct{}
 }
 
 func (keys *keys) claim(now time.Time, claim idempotency.Claim) idempotency.Verdict {
 	keys.mu.Lock()
 	defer keys.mu.Unlock()
-	return keys.owner.Claim(now, claim)
+	return keys.keeper.Claim(now, claim)
 }
 
 func (keys *keys) settle(settlement idempotency.Settlement) bool {
 	keys.mu.Lock()
 	defer keys.mu.Unlock()
-	return keys.owner.Settle(settlement)
+	return keys.keeper.Settle(settlement)
 }
 
 func (keys *keys) give(handover idempotency.Handover) (idempotency.Keys, bool) {
 	keys.mu.Lock()
 	defer keys.mu.Unlock()
-	return keys.owner.Give(handover)
+	return keys.keeper.Give(handover)
 }
 
 func (keys *keys) table() *idempotency.Table {
 	keys.mu.Lock()
 	defer keys.mu.Unlock()
-	return keys.owner.Table()
+	return keys.keeper.Table()
 }
 
 func (keys *keys) epoch() uint64 {
@@ -154,20 +152,20 @@
 	entry.count("keys.lost-settlements")
 }
 
-// sightInList counts a list that shows this instance as a sight of it, if the list says how old it is.
-func (entry *Entry) sightInList(list instance.List) {
+// listRead passes a reading of the list on to the keeper.
+func (entry *Entry) listRead(list instance.List) {
+	listing := idempotency.Listing{At: list.AsOf, AsOf: list.AsOf}
 	if list.AsOf.IsZero() {
-		return
+		listing.At = entry.Clock()
 	}
 	for _, other := range list.Entries {
-		if other.Name == entry.Name && other.Peer == entry.Peer {
-			entry.keys.mu.Lock()
-			if table := entry.keys.owner.Table(); table != nil && table.Has(entry.Incarnation) {
-				entry.keys.owner.Sight(list.AsOf.Add(-idempotency.Skew))
-			}
-			entry.keys.mu.Unlock()
-		}
+		listing.Names = append(listing.Names, other.Name)
+		listing.Self = listing.Self || other.Name == entry.Name && other.Peer == entry.Peer
 	}
+	slices.Sort(listing.Names)
+	entry.keys.mu.Lock()
+	defer entry.keys.mu.Unlock()
+	entry.keys.keeper.ListRead(listing)
 }
 
 // followTable reads the key table until the context ends.
@@ -186,134 +184,69 @@
 	}
 }
 
-// readTable adopts the table and joins it when this incarnation is missing.
 func (entry *Entry) readTable(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, tableDeadline)
 	defer cancel()
 	asked := entry.Clock()
-	table, revision, err := entry.loadTable(ctx)
-	if err != nil {
-		entry.count("keys.table-errors")
-		entry.Log.Warn("keys: the table could not be read, the known one stays", zap.Error(err))
-		return
-	}
-	entry.adoptTable(asked, table, revision)
-	if entry.IsLeaving() || table.Has(entry.Incarnation) {
-		return
-	}
-	entry.swapTable(ctx, "joined", table.Change(nil, []idempotency.Incarnation{entry.Incarnation}), revision)
-}
-
-func (entry *Entry) loadTable(ctx context.Context) (*idempotency.Table, uint64, error) {
 	value, revision, err := entry.Store.Get(ctx, TableKey)
-	if err != nil {
-		return nil, 0, err
+	if err == nil {
+		var table *idempotency.Table
+		if table, err = decodeTable(value); err == nil {
+			entry.tableRead(asked, table, revision)
+			return
+		}
 	}
-	table, err := decodeTable(value)
-	return table, revision, err
+	entry.count("keys.table-errors")
+	entry.Log.Warn("keys: the table could not be read, the known one stays", zap.Error(err))
 }
 
-// adoptTable takes in a table read at a time; being a member in it is a sight.
-func (entry *Entry) adoptTable(asked time.Time, table *idempotency.Table, revision uint64) {
+func (entry *Entry) tableRead(asked time.Time, table *idempotency.Table, revision uint64) {
 	entry.keys.mu.Lock()
-	defer entry.keys.mu.Unlock()
-	known := entry.keys.owner.Table()
-	if known != nil && table.Epoch < known.Epoch {
-		return
-	}
+	known := entry.keys.keeper.Table()
+	entry.keys.keeper.TableRead(asked, table, revision)
+	entry.keys.mu.Unlock()
 	if known == nil || table.Epoch > known.Epoch {
 		entry.Log.Info("keys: a table is in use", zap.Uint64("epoch", table.Epoch), zap.Int("members", len(table.Members)))
 	}
-	entry.keys.owner.Adopt(table)
-	entry.keys.revision = revision
-	if table.Has(entry.Incarnation) {
-		entry.keys.owner.Sight(asked)
-	}
-}
-
-// swapTable writes the next table; after a lost race or reply the next reading tells what holds.
-func (entry *Entry) swapTable(ctx context.Context, change string, next *idempotency.Table, revision uint64) {
-	if next == nil {
-		return
-	}
-	value, err := encodeTable(next)
-	if err != nil {
-		entry.Log.Error("keys: the table could not be encoded", zap.Error(err))
-		return
-	}
-	asked := entry.Clock()
-	newRevision, err := entry.Store.CompareAndSwap(ctx, TableKey, revision, value)
-	if err != nil {
-		entry.count("keys.lost-swaps")
-		entry.keys.wantTable()
-		return
-	}
-	entry.Log.Info("keys: the table was changed", zap.String("change", change), zap.Uint64("epoch", next.Epoch))
-	entry.adoptTable(asked, next, newRevision)
 }
 
 // tickKeys takes over partitions and keeps the table true until the context ends.
 func (entry *Entry) tickKeys(ctx context.Context) {
 	every(ctx, keyTick, func(ctx context.Context) {
-		now := entry.Clock()
 		entry.keys.mu.Lock()
-		table, revision := entry.keys.owner.Table(), entry.keys.revision
-		if table == nil || len(table.Partitions) == 0 {
-			entry.keys.mu.Unlock()
-			return
-		}
-		plan := entry.members.plan()
-		present := func(incarnation idempotency.Incarnation) bool {
-			_, listed := plan.byName[incarnation.Name()]
-			return listed && !table.Superseded(incarnation)
-		}
-		entry.keys.owner.Present(now, present)
-		actions := entry.keys.owner.Tick(now)
-		drop := entry.keys.missingMembers(now, table, present)
+		entry.keys.keeper.Leaving = entry.IsLeaving()
+		actions := entry.keys.keeper.Tick(entry.Clock())
 		entry.keys.mu.Unlock()
 		for earlier, handover := range actions.Ask {
 			go entry.takeOver(ctx, earlier, handover)
 		}
-		entry.keepTable(ctx, table, revision, actions.Confirm, drop)
-	})
-}
-
-// missingMembers returns the members that the list has not shown for some time.
-func (keys *keys) missingMembers(now time.Time, table *idempotency.Table, present func(idempotency.Incarnation) bool) []idempotency.Incarnation {
-	if keys.missing == nil {
-		keys.missing = map[idempotency.Incarnation]time.Time{}
-	}
-	var drop []idempotency.Incarnation
-	for _, member := range table.Members {
-		since, missing := keys.missing[member]
-		switch {
-		case present(member):
-			delete(keys.missing, member)
-		case !missing:
-			keys.missing[member] = now
-		case now.Sub(since) >= dropAfter:
-			drop = append(drop, member)
+		if actions.Swap != nil {
+			entry.swapTable(ctx, actions)
 		}
-	}
-	return drop
+	})
 }
 
-// keepTable writes what has changed: members gone and partitions settled.
-func (entry *Entry) keepTable(ctx context.Context, table *idempotency.Table, revision uint64, confirm map[int]uint64, drop []idempotency.Incarnation) {
+// swapTable writes the next table; after a lost race or reply the next reading tells what holds.
+func (entry *Entry) swapTable(ctx context.Context, actions idempotency.Actions) {
 	ctx, cancel := context.WithTimeout(ctx, tableDeadline)
 	defer cancel()
-	switch {
-	case len(drop) > 0 && entry.members.listed(entry.Name):
-		entry.swapTable(ctx, "dropped members", table.Change(drop, nil), revision)
-	case len(confirm) > 0:
-		entry.swapTable(ctx, "confirmed partitions", table.Confirm(entry.Incarnation, confirm), revision)
+	value, err := encodeTable(actions.Swap)
+	if err != nil {
+		entry.Log.Error("keys: the table could not be encoded", zap.Error(err))
+		return
 	}
-}
-
-// listed reports whether the list shows an instance: one that the list leaves out must not drop others.
-func (members *members) listed(name string) bool {
-	_, found := members.plan().byName[name]
-	return found
+	asked := entry.Clock()
+	revision, err := entry.Store.CompareAndSwap(ctx, TableKey, actions.Revision, value)
+	entry.keys.mu.Lock()
+	entry.keys.keeper.Swapped(entry.Clock(), err == nil)
+	entry.keys.mu.Unlock()
+	if err != nil {
+		entry.count("keys.lost-swaps")
+		entry.keys.wantTable()
+		return
+	}
+	entry.Log.Info("keys: the table was changed", zap.String("change", actions.Reason), zap.Uint64("epoch", actions.Swap.Epoch))
+	entry.tableRead(asked, actions.Swap, revision)
 }
 
 func (entry *Entry) takeOver(ctx context.Context, earlier idempotency.Incarnation, handover idempotency.Handover) {
@@ -325,39 +258,21 @@
 	}
 	entry.keys.mu.Lock()
 	defer entry.keys.mu.Unlock()
-	entry.keys.owner.Receive(received)
+	entry.keys.keeper.Receive(received)
 }
 
-// leaveTable drops this incarnation and waits until its keys are taken over, or the context ends.
-func (entry *Entry) leaveTable(ctx context.Context) {
+// awaitReleased waits until nothing awaits this instance's keys, or the context ends.
+func (entry *Entry) awaitReleased(ctx context.Context) {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, tableDeadline)
-		asked := entry.Clock()
-		table, revision, err := entry.loadTable(call)
-		if err == nil {
-			entry.adoptTable(asked, table, revision)
-			if table.Has(entry.Incarnation) && len(table.Members) > 1 {
-				entry.swapTable(call, "left", table.Change([]idempotency.Incarnation{entry.Incarnation}, nil), revision)
-			} else if !awaits(table, entry.Incarnation) {
-				cancel()
-				return
-			}
-		}
-		cancel()
+		entry.keys.wantTable()
 		sleep(ctx, keyTick)
-	}
-}
-
-// awaits reports whether some partition still awaits the keys of an incarnation.
-func awaits(table *idempotency.Table, incarnation idempotency.Incarnation) bool {
-	for _, row := range table.Partitions {
-		for _, earlier := range row.Pending {
-			if earlier == incarnation {
-				return true
-			}
+		entry.keys.mu.Lock()
+		released := entry.keys.keeper.Released()
+		entry.keys.mu.Unlock()
+		if released {
+			return
 		}
 	}
-	return false
 }
 
 // encodeTable returns the table as the store keeps it.
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -16,7 +16,7 @@
 	entry.MarkLeaving(entry.Name)
 	var group sync.WaitGroup
 	group.Go(func() { entry.announceLeaving(ctx) })
-	group.Go(func() { entry.leaveTable(ctx) })
+	group.Go(func() { entry.awaitReleased(ctx) })
 	group.Wait()
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -141,7 +141,7 @@
 	entry.members.mu.Lock()
 	if entry.members.view.Confirm(list) {
 		entry.members.mu.Unlock()
-		entry.sightInList(list)
+		entry.listRead(list)
 		return
 	}
 	before := entry.members.view.Digest(now)
@@ -156,7 +156,7 @@
 		entry.members.rebuild(now, nil)
 		entry.Log.Info("instances: the list changed", zap.Int("entries", len(list.Entries)), zap.Int("backend-servers", len(list.Servers)))
 	}
-	entry.sightInList(list)
+	entry.listRead(list)
 }
 
 // MarkLeaving takes in another instance's own word that it is leaving.
--- a/entry/status.go
+++ b/entry/status.go
@@ -51,7 +51,7 @@
 	asOf := entry.members.view.AsOf()
 	entry.members.mu.Unlock()
 	entry.keys.mu.Lock()
-	standing := entry.keys.owner.Standing(now)
+	standing := entry.keys.keeper.Standing(now)
 	entry.keys.mu.Unlock()
 	status := Status{
 		Instance: entry.Name, Incarnation: string(entry.Incarnation), Domain: entry.Domain, Leaving: entry.IsLeaving(),
