--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -62,6 +62,7 @@
 	response *http.Response
 	err      error
 	overdue  bool
+	hedge    bool   // a refused hedge may be tried again
 	id       uint64 // of the ask that a decision answers
 }
 
@@ -196,6 +197,10 @@
 			Deadline: x.request.Deadline, Fingerprint: x.fingerprint,
 		}
 		go x.ask(ask, action.At)
+	case retry.Wait:
+		if !action.At.IsZero() {
+			x.hedgeAt(action.At)
+		}
 	case retry.Finish:
 		x.finish(action.Answer)
 		return true
@@ -203,6 +208,12 @@
 	return false
 }
 
+// hedgeAt tries a refused hedge again at a time.
+func (x *exchange) hedgeAt(at time.Time) {
+	timer := time.AfterFunc(at.Sub(x.now()), func() { x.post(event{hedge: true}) })
+	context.AfterFunc(x.ctx, func() { timer.Stop() })
+}
+
 // ask acquires a grant in the background.
 func (x *exchange) ask(ask pool.Ask, at time.Time) {
 	if pause := at.Sub(x.now()); pause > 0 {
@@ -223,6 +234,8 @@
 	switch {
 	case e.decision != nil:
 		return x.decided(e)
+	case e.hedge:
+		return x.do(x.request.Overdue(x.now(), x.body.replayable()))
 	case e.overdue:
 		return x.suspect(e.attempt)
 	case x.out[e.attempt.id] != e.attempt:
@@ -237,7 +250,7 @@
 // decided follows a grant or a refusal.
 func (x *exchange) decided(e event) bool {
 	if e.grant == nil {
-		return x.do(x.request.Refused(x.now(), e.decision.Verdict, e.decision.RetryAt))
+		return x.do(x.request.Refused(e.decision.Verdict, e.decision.RetryAt))
 	}
 	x.request.Granted(e.grant.Server)
 	if x.claim != nil && !x.now().Before(x.writeBy) && !x.claimAgain(e.grant) {
--- a/core/idempotency/fuzz_test.go
+++ b/core/idempotency/fuzz_test.go
@@ -24,7 +24,7 @@
 
 const (
 	fuzzNames  = 5
-	recentKeys = 3 // repeats are of one of so many latest keys
+	recentKeys = 3               // repeats are of one of so many latest keys
 	flapPeriod = 4 * time.Second // an instance's listing changes no faster than this
 	mostLag    = 8 * time.Second // of a reading of the list
 )
@@ -35,7 +35,6 @@
 	t         *rapid.T
 	now       time.Time
 	instances map[string]*process
-	dead      []*process
 	runs      int
 	bag       []message
 	cut       map[[2]string]bool
@@ -387,8 +386,8 @@
 				w.request(p, rapid.IntRange(max(0, len(w.born)-recentKeys), len(w.born)).Draw(w.t, "key"))
 			}
 		}),
-		"pause":  act(func() { p := w.pick("instance"); p.paused = !p.paused }),
-		"cut":    act(func() { pair := [2]string{w.pick("from").name, w.pick("to").name}; w.cut[pair] = !w.cut[pair] }),
+		"pause": act(func() { p := w.pick("instance"); p.paused = !p.paused }),
+		"cut":   act(func() { pair := [2]string{w.pick("from").name, w.pick("to").name}; w.cut[pair] = !w.cut[pair] }),
 		"strand": act(func() {
 			name := w.pick("instance").name
 			w.cut[[2]string{name, "store"}], w.cut[[2]string{"store", name}] = true, true
--- a/core/pool/choice.go
+++ b/core/pool/choice.go
@@ -50,32 +50,39 @@
 		}
 		return rankNone
 	}
-	total := s.evidence.total(now)
-	if total < suspectScore {
+	suspect := s.evidence.overall.value(now) >= suspectScore
+	path := s.evidence.against(now, ask.Domain) >= suspectScore
+	switch {
+	case !suspect && !path:
 		if pool.triedDomain(ask, s) {
 			return rankTried
 		}
 		return rankHealthy
-	}
-	if mayVerify && s.verifying < mostVerifying && !now.Before(s.verifyAt) && pool.widens(now, ask, s) {
+	case mayVerify && pool.mayVerify(now, ask, s, suspect):
 		return rankVerify
 	}
 	return rankSuspect
 }
 
-// mostVerifying bounds the verifications of one suspect that are out at a time.
-const mostVerifying = 2
-
-// widens reports whether an answer to this ask would tell more than what is known already.
+// mayVerify reports whether one more request may go to a suspect to confirm or clear it.
 //
-// From the domain with the most evidence another failure says little, unless all asks come from there.
-func (pool *Pool) widens(now time.Time, ask *Ask, s *server) bool {
-	if pool.vantages.sole(now) {
+// A path that has failed enough is tried now and then only: more failures from there would add nothing.
+func (pool *Pool) mayVerify(now time.Time, ask *Ask, s *server, suspect bool) bool {
+	if s.verifying >= mostVerifying || now.Before(s.verifyAt) {
+		return false
+	}
+	if suspect && (pool.vantages.sole(now) || s.evidence.against(now, ask.Domain) < pathScore) {
 		return true
 	}
-	return s.evidence.score(now, ask.Domain) < pool.threshold()*domainCapShare/2
+	return s.verifying == 0 && now.Sub(s.lastPathTrial) >= pathTrialEvery
 }
 
+// pathTrialEvery is the time between two requests that try a suspect path again.
+const pathTrialEvery = 5 * time.Second
+
+// mostVerifying bounds the verifications of one suspect that are out at a time.
+const mostVerifying = 3
+
 func (pool *Pool) triedDomain(ask *Ask, s *server) bool {
 	for _, name := range ask.Exclude {
 		if tried := pool.server(name); tried != nil && tried.member.Domain == s.member.Domain {
--- a/core/pool/ejection.go
+++ b/core/pool/ejection.go
@@ -27,11 +27,13 @@
 	Address netip.AddrPort
 }
 
-func (pool *Pool) threshold() float64 {
+// threshold returns the evidence that convicts, and how much of it must come from beside the domain with the most.
+func (pool *Pool) threshold(now time.Time) (overall, beside float64) {
+	more := math.Log(max(1, pool.baseline.perSecond(now)/thresholdRate))
 	if pool.policy.Ejection == rules.Quick {
-		return quickThreshold
+		return quickThreshold + more, quickBeside
 	}
-	return cautiousThreshold
+	return cautiousThreshold + more, cautiousBeside
 }
 
 // considerEjection ejects a server when the evidence convicts it, the slice as a whole is well and the floor holds.
@@ -39,29 +41,53 @@
 	if s.phase != inService || !pool.convicted(now, s) {
 		return
 	}
-	if pool.sliceSuspect(now, s) || !pool.floorAllows(now, s) {
+	if pool.sliceSuspect(now, s) {
+		return
+	}
+	if !pool.floorAllows(now, s) {
 		s.verifyAt = now.Add(heldVerification)
 		return
 	}
 	pool.eject(now, s)
 }
 
-// convicted reports whether the evidence against a server reaches the threshold.
+// convicted reports whether the evidence speaks against the server and not against one path to it.
 //
-// With all asks from one entry instance a fault of its path cannot be told from one of the server:
-// more evidence is needed then.
+// While all asks come from one failure domain there is nothing beside it. With all asks from one entry instance
+// a fault of its path cannot be told from one of the server: more evidence is needed then.
 func (pool *Pool) convicted(now time.Time, s *server) bool {
+	overall, beside := pool.threshold(now)
 	if pool.vantages.soleEntry(now) {
-		return s.evidence.total(now) >= soleEntryFactor*pool.threshold()
+		overall *= soleEntryFactor
+	}
+	if s.evidence.overall.value(now) < overall {
+		return false
 	}
-	return s.evidence.convicts(now, pool.threshold(), pool.vantages.sole(now))
+	return pool.vantages.sole(now) || s.evidence.beside(now) >= beside
 }
 
-// sliceSuspect reports whether so many other servers are suspect that the cause is shared.
+// noteControl counts an outcome at one server for the suspicions against all others.
+func (pool *Pool) noteControl(now time.Time, at *server, failed bool) {
+	for _, s := range pool.servers {
+		switch {
+		case s == at:
+		case failed:
+			s.control.failed++
+		default:
+			s.control.answered++
+			pool.considerEjection(now, s)
+		}
+	}
+}
+
+// sliceSuspect reports whether other servers do badly too, so that the cause may be shared.
 func (pool *Pool) sliceSuspect(now time.Time, except *server) bool {
+	if !except.control.clean() {
+		return true
+	}
 	suspects := 0
 	for _, s := range pool.servers {
-		if s != except && s.phase == inService && s.evidence.total(now) >= suspectScore {
+		if s != except && s.phase == inService && s.evidence.overall.value(now) >= suspectScore {
 			suspects++
 		}
 	}
@@ -218,7 +244,7 @@
 	for _, s := range pool.servers {
 		out = append(out, Status{
 			Server: s.member.Name, State: s.state(now), Until: s.until,
-			InFlight: s.inFlight, Limit: s.limit(now), Evidence: s.evidence.total(now),
+			InFlight: s.inFlight, Limit: s.limit(now), Evidence: s.evidence.overall.value(now),
 		})
 	}
 	return out
@@ -234,7 +260,7 @@
 		return "probing"
 	case server.phase == trial:
 		return "trial"
-	case server.evidence.total(now) >= suspectScore:
+	case server.evidence.overall.value(now) >= suspectScore:
 		return "suspect"
 	}
 	return "in-service"
--- a/core/pool/evidence.go
+++ b/core/pool/evidence.go
@@ -6,22 +6,26 @@
 )
 
 // Parameters of the sequential test. A failure rate of sickRate is tested against the rate of the
-// slice's other servers by a cumulative sum of log-likelihood ratios (Page, 1954), one sum for each
-// failure domain that evidence comes from.
+// slice's other servers by cumulative sums of log-likelihood ratios (Page, 1954): one over all evidence against
+// a server, which convicts, and one for each failure domain that evidence comes from, which tells faults of paths.
 const (
 	sickRate      = 0.7
-	leastBaseline = 0.02 // failure rate below which the baseline never falls
+	leastBaseline = 0.01 // failure rate below which the baseline never falls
 	mostBaseline  = 0.5
 	baselinePrior = 20.0 // events that the least baseline weighs
 	eventHalfLife = 10 * time.Second
 	scoreHalfLife = 30 * time.Second
 	maxDomains    = 8
 
-	quickThreshold    = 6.5 // two failures seen from two domains
-	cautiousThreshold = 10  // three failures seen from three domains
-	domainCapShare    = 0.6 // share of the threshold that one domain can bring
-	corroboration     = 4.5 // evidence needed beside a domain at its cap
-	suspectScore      = 2.0
+	quickThreshold    = 10.0 // three failures against the least baseline
+	cautiousThreshold = 11.0 // as many, without an answer in time between them
+	quickBeside       = 3.0  // evidence needed from beside the domain with the most: one failure
+	cautiousBeside    = 4.5  // two failures
+	pathScore         = 5.0  // evidence from one domain that more from there adds nothing to
+	thresholdRate     = 20.0 // requests per second above which the threshold grows, as chances to err do
+	suspectScore      = 1.0
+	controlFactor     = 2    // answers for each failure that the other servers must show
+	retractShare      = 0.8  // of the evidence of an answer that was a little late
 	sameEntryWeight   = 0.25 // a repeated failure from one entry instance
 	reusedWeight      = 0.25 // a failure on a reused connection
 )
@@ -49,26 +53,50 @@
 	rate.failures += failure
 }
 
+// perSecond returns the events per second.
+func (rate *rate) perSecond(now time.Time) float64 {
+	rate.decay(now)
+	return rate.events * math.Ln2 / eventHalfLife.Seconds()
+}
+
 // baselineWithout returns the failure rate of a slice without one of its servers.
 func baselineWithout(now time.Time, all, one *rate) float64 {
 	all.decay(now)
 	one.decay(now)
 	failures := max(0, all.failures-one.failures) + leastBaseline*baselinePrior
 	events := max(0, all.events-one.events) + baselinePrior
-	return min(mostBaseline, failures/events)
+	return min(mostBaseline, max(leastBaseline, failures/events))
 }
 
 // domainEvidence is the evidence against a server as seen from one failure domain.
 type domainEvidence struct {
 	domain    string
-	score     float64
-	at        time.Time // time of the score
-	lastOK    time.Time
+	score     score
 	lastEntry string // entry instance of the latest failure since a success
 }
 
+// score is a cumulative sum that never falls below zero and fades with time.
+type score struct {
+	sum float64
+	at  time.Time
+}
+
+func (score *score) add(now time.Time, ratio float64) {
+	score.sum = max(0, score.value(now)+ratio)
+	score.at = now
+}
+
+func (score *score) value(now time.Time) float64 {
+	age := now.Sub(score.at)
+	if age <= 0 || score.sum == 0 {
+		return score.sum
+	}
+	return score.sum * math.Exp2(-float64(age)/float64(scoreHalfLife))
+}
+
 // evidence is all evidence against a server.
 type evidence struct {
+	overall score
 	domains [maxDomains]domainEvidence
 	used    int
 }
@@ -88,79 +116,68 @@
 	return d
 }
 
-func (d *domainEvidence) decay(now time.Time) {
-	age := now.Sub(d.at)
-	if age <= 0 {
-		return
-	}
-	d.score *= math.Exp2(-float64(age) / float64(scoreHalfLife))
-	d.at = now
-}
-
-func (d *domainEvidence) succeed(now time.Time, baseline float64) {
-	d.decay(now)
-	d.score = max(0, d.score+math.Log((1-sickRate)/(1-baseline)))
-	d.lastOK = now
+// succeed adds an answer in time.
+func (evidence *evidence) succeed(now time.Time, domain string, baseline float64) {
+	ratio := math.Log((1 - sickRate) / (1 - baseline))
+	d := evidence.from(domain)
+	d.score.add(now, ratio)
 	d.lastEntry = ""
+	evidence.overall.add(now, ratio)
 }
 
-func (d *domainEvidence) fail(now time.Time, entry string, weight, baseline float64) {
-	d.decay(now)
+// fail adds a failure and returns what it added.
+func (evidence *evidence) fail(now time.Time, domain, entry string, weight, baseline float64) float64 {
+	d := evidence.from(domain)
 	if d.lastEntry == entry {
 		weight *= sameEntryWeight
 	}
-	d.score += weight * math.Log(sickRate/baseline)
 	d.lastEntry = entry
+	ratio := weight * math.Log(sickRate/baseline)
+	d.score.add(now, ratio)
+	evidence.overall.add(now, ratio)
+	return ratio
+}
+
+// retract takes back most of what a late answer added before it came.
+func (evidence *evidence) retract(now time.Time, domain string, added float64) {
+	evidence.from(domain).score.add(now, -retractShare*added)
+	evidence.overall.add(now, -retractShare*added)
 }
 
-// score returns the evidence of a domain, or 0.
-func (evidence *evidence) score(now time.Time, domain string) float64 {
+// against returns the evidence against the path from a domain to the server.
+func (evidence *evidence) against(now time.Time, domain string) float64 {
 	for i := 0; i < evidence.used; i++ {
 		if evidence.domains[i].domain == domain {
-			evidence.domains[i].decay(now)
-			return evidence.domains[i].score
+			return evidence.domains[i].score.value(now)
 		}
 	}
 	return 0
 }
 
-// total returns the evidence of all domains, uncapped.
-func (evidence *evidence) total(now time.Time) float64 {
-	sum := 0.0
+// beside returns the evidence from all domains but the one with the most.
+func (evidence *evidence) beside(now time.Time) float64 {
+	sum, most := 0.0, 0.0
 	for i := 0; i < evidence.used; i++ {
-		evidence.domains[i].decay(now)
-		sum += evidence.domains[i].score
+		value := evidence.domains[i].score.value(now)
+		sum += value
+		most = max(most, value)
 	}
-	return sum
+	return sum - most
 }
 
-// convicts reports whether the evidence speaks against the server and not against one path to it.
-//
-// Each domain counts up to its cap. Beside a domain at its cap the others must bring more than
-// one failure: a fault of the path and one stray failure do not eject.
-func (evidence *evidence) convicts(now time.Time, threshold float64, soleDomain bool) bool {
-	if soleDomain {
-		return evidence.total(now) >= threshold
-	}
-	limit := threshold * domainCapShare
-	sum, capped, beside := 0.0, 0, 0.0
-	for i := 0; i < evidence.used; i++ {
-		d := &evidence.domains[i]
-		d.decay(now)
-		sum += min(limit, d.score)
-		if d.score >= limit {
-			capped++
-		} else {
-			beside += d.score
-		}
-	}
-	if sum < threshold {
-		return false
-	}
-	return capped != 1 || beside >= corroboration
+// control counts what the other servers of the slice did since the latest failure of a server.
+type control struct {
+	answered, failed int
 }
 
-func (evidence *evidence) clear() { evidence.used = 0; evidence.domains = [maxDomains]domainEvidence{} }
+// clean reports whether the other servers did well meanwhile, so that the cause is not a shared one.
+func (control control) clean() bool {
+	return control.answered > 0 && control.answered >= controlFactor*control.failed
+}
+
+func (evidence *evidence) clear() {
+	evidence.overall, evidence.domains, evidence.used = score{}, [maxDomains]domainEvidence{}, 0
+}
 
 // vantageMemory bounds how long a domain counts as one that evidence can come from.
 const vantageMemory = time.Minute
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -123,7 +123,8 @@
 	granted     time.Time
 	expires     time.Time
 	overdue     bool
-	verifies    bool // sent to a suspect to confirm or clear it
+	added       float64 // evidence that being overdue added
+	verifies    bool    // sent to a suspect to confirm or clear it
 	fingerprint uint64
 }
 
@@ -194,7 +195,9 @@
 	if ask.Number <= 1 && !pool.rate.take(now, pool.policy.Limit) {
 		return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: pool.rate.nextAt(now, pool.policy.Limit)}
 	}
-	if !pool.budget.allow(ask.Number > 1 || ask.Hedge) {
+	if ask.Number <= 1 {
+		pool.budget.earn()
+	} else if !pool.budget.spend(ask.Hedge) {
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(budgetRetry)}
 	}
 	if len(pool.waiters) > 0 && !ask.Hedge {
@@ -216,6 +219,7 @@
 	s.inFlight++
 	if g.verifies {
 		s.verifying++
+		s.lastPathTrial = now
 	}
 	s.lastGrant = now
 	decision := pool.describe(now, ask.Attempt, g)
@@ -292,6 +296,9 @@
 		pool.lastTick = now
 		pool.updateSuspectIn(now)
 	}
+	for _, s := range pool.servers {
+		pool.considerEjection(now, s)
+	}
 	probes := pool.readmit(now)
 	pool.serveWaiters(now)
 	return probes
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -48,10 +48,12 @@
 	return "unknown"
 }
 
-// weight returns how strongly an outcome speaks against the server, 0 to 1.
+// weight returns how strongly an outcome speaks against the server, a lost answer being 1.
 func (outcome Outcome) weight() float64 {
 	switch outcome {
-	case ConnectFailed, Reset, TimedOut, Stalled, Truncated:
+	case ConnectFailed:
+		return 1.5
+	case Reset, TimedOut, Stalled, Truncated:
 		return 1
 	case ServerError:
 		return 0.5
@@ -78,7 +80,9 @@
 	coldSuspectIn  = 500 * time.Millisecond
 	leastSuspectIn = 60 * time.Millisecond
 	mostSuspectIn  = 10 * time.Second
-	suspectFactor  = 3.0 // times the slice's median of the servers' 95th percentiles
+	suspectFactor  = 2.0  // times the slice's median of the servers' 95th percentiles
+	lateFactor     = 3    // an answer within so many times the time of suspicion is late, not lost
+	slowedFactor   = 1.25 // a rise of the time of suspicion by which earlier evidence is void
 	statsInterval  = time.Second
 	statsWindows   = 4
 	windowLength   = 15 * time.Second
@@ -92,33 +96,35 @@
 	pool.init(now)
 	s := pool.server(report.Server)
 	g, held := pool.grants[report.Attempt]
+	added := 0.0
 	if s != nil {
-		pool.judge(now, s, report, held && g.overdue)
+		added = pool.judge(now, s, report, g)
 	}
 	switch {
 	case !held:
 	case report.Overdue:
-		g.overdue = true
+		g.overdue, g.added = true, added
 		pool.grants[report.Attempt] = g
 	default:
 		pool.release(now, report.Attempt, g)
 	}
 }
 
-// judge adds a report to a server's evidence.
-func (pool *Pool) judge(now time.Time, s *server, report Report, wasOverdue bool) {
+// judge adds a report to a server's evidence, and returns what a failure added.
+func (pool *Pool) judge(now time.Time, s *server, report Report, g grant) float64 {
 	s.member.Leaving = s.member.Leaving || report.Leaving
 	pool.noteFingerprint(now, s, report)
 	switch {
 	case report.Overdue:
-		pool.failed(now, s, report, 1)
+		return pool.failed(now, s, report, 1)
 	case report.Outcome == Answered:
-		pool.answered(now, s, report, wasOverdue)
+		pool.answered(now, s, report, g)
 	case report.Outcome == Shed:
 		s.shed(now)
-	case report.Outcome.weight() > 0 && !(wasOverdue && report.Outcome == TimedOut):
-		pool.failed(now, s, report, report.Outcome.weight())
+	case report.Outcome.weight() > 0 && !g.overdue:
+		return pool.failed(now, s, report, report.Outcome.weight())
 	}
+	return 0
 }
 
 func (pool *Pool) noteFingerprint(now time.Time, s *server, report Report) {
@@ -135,19 +141,24 @@
 	}
 }
 
-func (pool *Pool) answered(now time.Time, s *server, report Report, wasOverdue bool) {
+func (pool *Pool) answered(now time.Time, s *server, report Report, g grant) {
 	s.recordFirstByte(report.FirstByte)
-	if wasOverdue {
+	if g.overdue {
+		if report.FirstByte < lateFactor*pool.suspectIn {
+			s.evidence.retract(now, report.Domain, g.added)
+		}
 		return
 	}
 	baseline := baselineWithout(now, &pool.baseline, &s.events)
 	s.events.add(now, 0)
 	pool.baseline.add(now, 0)
-	s.evidence.from(report.Domain).succeed(now, baseline)
+	pool.noteControl(now, s, false)
+	s.evidence.succeed(now, report.Domain, baseline)
 	pool.passTrial(now, s)
 }
 
-func (pool *Pool) failed(now time.Time, s *server, report Report, weight float64) {
+// failed adds a failure to a server's evidence and returns what it added.
+func (pool *Pool) failed(now time.Time, s *server, report Report, weight float64) float64 {
 	if report.Reused {
 		weight *= reusedWeight
 		s.freshUntil = now.Add(freshLength)
@@ -155,12 +166,15 @@
 	baseline := baselineWithout(now, &pool.baseline, &s.events)
 	s.events.add(now, weight)
 	pool.baseline.add(now, weight)
-	s.evidence.from(report.Domain).fail(now, report.Entry, weight, baseline)
+	s.control = control{}
+	pool.noteControl(now, s, true)
+	added := s.evidence.fail(now, report.Domain, report.Entry, weight, baseline)
 	if s.phase == trial {
 		pool.eject(now, s)
-		return
+		return 0
 	}
 	pool.considerEjection(now, s)
+	return added
 }
 
 func (server *server) recordFirstByte(firstByte time.Duration) {
@@ -187,7 +201,20 @@
 	}
 	slices.Sort(highs)
 	median := highs[len(highs)/2]
-	pool.suspectIn = min(mostSuspectIn, max(leastSuspectIn, time.Duration(suspectFactor*float64(median))))
+	next := min(mostSuspectIn, max(leastSuspectIn, time.Duration(suspectFactor*float64(median))))
+	if float64(next) > slowedFactor*float64(pool.suspectIn) {
+		pool.clearEvidence()
+	}
+	pool.suspectIn = next
+}
+
+// clearEvidence forgets the evidence against servers in service, after the slice as a whole has become slower.
+func (pool *Pool) clearEvidence() {
+	for _, s := range pool.servers {
+		if s.phase == inService {
+			s.evidence.clear()
+		}
+	}
 }
 
 // highFirstByte returns the 95th percentile of the time to the first byte over the latest windows.
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -26,27 +26,29 @@
 
 // server is a backend server with its load and evidence.
 type server struct {
-	member     Member
-	slots      int
-	inFlight   int
-	verifying  int       // grants out to confirm or clear a suspicion
-	verifyAt   time.Time // no verification before
-	phase      phase
-	until      time.Time // deadline of the phase
-	since      time.Time // start of service after an ejection
-	ejections  int       // ejections in a row
-	trials     int       // trial requests still to pass
-	rampUntil  time.Time
-	shedLimit  float64 // slots left by shedding, 0 for all
-	shedAt     time.Time
-	lastGrant  time.Time
-	freshUntil time.Time // new connections only until then
-	connected  float64   // estimate of open connections
-	countedAt  time.Time // time of the estimate
-	evidence   evidence
-	events     rate
-	firstBytes *hdrhistogram.WindowedHistogram
-	rotateAt   time.Time
+	member        Member
+	slots         int
+	inFlight      int
+	verifying     int       // grants out to confirm or clear a suspicion
+	verifyAt      time.Time // no verification before
+	lastPathTrial time.Time
+	phase         phase
+	until         time.Time // deadline of the phase
+	since         time.Time // start of service after an ejection
+	ejections     int       // ejections in a row
+	trials        int       // trial requests still to pass
+	rampUntil     time.Time
+	shedLimit     float64 // slots left by shedding, 0 for all
+	shedAt        time.Time
+	lastGrant     time.Time
+	freshUntil    time.Time // new connections only until then
+	connected     float64   // estimate of open connections
+	countedAt     time.Time // time of the estimate
+	evidence      evidence
+	control       control
+	events        rate
+	firstBytes    *hdrhistogram.WindowedHistogram
+	rotateAt      time.Time
 }
 
 // startRamp begins slow start.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -60,7 +60,7 @@
 
 // Steps.
 const (
-	// Wait for the attempts that are out.
+	// Wait for the attempts that are out; with a time, call Overdue again then.
 	Wait Step = iota
 	// Ask for a grant at the action's time.
 	Ask
@@ -123,11 +123,13 @@
 	return true
 }
 
-// Refused follows a refusal of a grant.
-func (request *Request) Refused(now time.Time, verdict pool.Verdict, retryAt time.Time) Action {
+// Refused follows a refusal of a grant. While another attempt is out, a refused hedge may be tried again later.
+func (request *Request) Refused(verdict pool.Verdict, retryAt time.Time) Action {
 	request.out--
 	if request.out > 0 {
-		return Action{Step: Wait}
+		request.hedged = false
+		request.started--
+		return Action{Step: Wait, At: retryAt}
 	}
 	return request.finish(reasonOf(verdict), retryAt)
 }
