Prove the promises with scripted scenarios of real processes

Cause: the whole path had one scenario and no faults.

Change: scripts (testscript, real daemon processes) for kills, freezes, one-way cuts, a store and list that are down, slow, frozen, malformed or lose replies, racing operators, gray servers, crashing requests, silent connections, broken downloads, planned stops, draining, limits. First failing, then passing: - a repeat at another entry instance counted as another request, as the host was part of the fingerprint: left out; this also let a poison request take down two servers for each entry instance; - connections gone silent cost 2 of 506 requests their deadline: every attempt but the first uses a new connection; - one shedding server of six cost 30 of 342 requests a 503, as retries of refusals spent the budget: a refusing server rests, 20 ms to 2 s; - a lost reply to the write of a rules part ended the publication: settled by reading back, as for the head; - a claim was refused while its owner's table was one change behind: claims carry the epoch of the partition's ownership, not the table's.

--- a/adapters/caller/http/body.go
+++ b/adapters/caller/http/body.go
@@ -88,11 +88,12 @@
 // Close does nothing.
 func (stream *bodyStream) Close() error { return nil }
 
-// fingerprint tells requests apart that may crash servers: same request, same fingerprint.
+// fingerprint tells requests apart: same request, same fingerprint. The host is left out, as callers reach each
+// entry instance under its own address.
 func fingerprint(r *http.Request, body *body) uint64 {
 	digest := xxhash.New()
 	for _, part := range []string{
-		r.Method, r.Host, r.URL.RequestURI(), r.Header.Get(backend.TeamHeader), r.Header.Get(backend.KeyHeader), r.Header.Get("Content-Type"),
+		r.Method, r.URL.RequestURI(), r.Header.Get(backend.TeamHeader), r.Header.Get(backend.KeyHeader), r.Header.Get("Content-Type"),
 	} {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -282,7 +282,8 @@
 	out := x.outgoing(ctx)
 	options := backend.Options{
 		Address: e.grant.Address,
-		Fresh:   e.grant.Fresh || e.grant.Close || !x.request.Idempotent,
+		// A connection that has gone silent must not meet a request twice.
+		Fresh: e.grant.Fresh || e.grant.Close || !x.request.Idempotent || x.request.Number() > 1,
 	}
 	a.suspect = time.AfterFunc(e.grant.SuspectAt.Sub(x.now()), func() { x.post(event{attempt: a, overdue: true}) })
 	go func() {
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -184,21 +184,32 @@
 func storeParts(ctx context.Context, store Store, version *Version) error {
 	version.parts = nil
 	for _, part := range split(version.Text) {
-		digest := digestOf(part)
-		version.parts = append(version.parts, digest)
-		_, revision, err := store.Get(ctx, partPrefix+digest)
-		if err != nil {
+		version.parts = append(version.parts, digestOf(part))
+		if err := storePart(ctx, store, part); err != nil {
 			return &Error{Op: "publish", Kind: KindAway, Err: err}
 		}
-		if revision != 0 {
-			continue
+	}
+	return nil
+}
+
+// storePart writes a part unless it is there; after a lost reply it looks again.
+func storePart(ctx context.Context, store Store, part string) error {
+	key := partPrefix + digestOf(part)
+	var cause error
+	for range settleTries {
+		_, revision, err := store.Get(ctx, key)
+		if err == nil && revision != 0 {
+			return nil
 		}
-		_, err = store.CompareAndSwap(ctx, partPrefix+digest, 0, []byte(part))
-		if err != nil && !isConflict(err) {
-			return &Error{Op: "publish", Kind: KindAway, Err: err}
+		if err == nil {
+			_, err = store.CompareAndSwap(ctx, key, 0, []byte(part))
 		}
+		if err == nil || isConflict(err) {
+			return nil
+		}
+		cause = err
 	}
-	return nil
+	return cause
 }
 
 // swapHead writes the head; when the reply is lost it reads back what became of the write.
--- a/core/idempotency/fuzz_test.go
+++ b/core/idempotency/fuzz_test.go
@@ -240,8 +240,9 @@
 		w.giveUp(p, r)
 		return
 	}
-	r.claim.Epoch = table.Epoch
-	owner := table.Partitions[r.claim.Key.Partition()].Owner
+	row := table.Partitions[r.claim.Key.Partition()]
+	r.claim.Epoch = row.Since
+	owner := row.Owner
 	asked, claim := r.asked, r.claim
 	if owner == p.keeper.Self {
 		w.verdict(p, r, asked, p.keeper.Claim(w.clock(p), claim))
--- a/core/idempotency/idempotency.go
+++ b/core/idempotency/idempotency.go
@@ -74,7 +74,7 @@
 
 // Claim asks whether a request may run.
 type Claim struct {
-	Epoch   uint64 // table epoch known to the asking entry
+	Epoch   uint64 // epoch since which the owner has the partition, as the asking entry knows it
 	Key     Key
 	Born    time.Time // zero when the key does not tell
 	Attempt uint64    // the same in every repetition of this claim
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -15,6 +15,10 @@
 		refused.Verdict, refused.RetryAt = NoServer, now.Add(noServerRetry)
 		return refused
 	}
+	if restUntil, resting := pool.allRest(now); resting {
+		refused.RetryAt = restUntil
+		return refused
+	}
 	if ask.Hedge || !now.Before(ask.Deadline) || len(pool.waiters) >= pool.queueLimit() {
 		return refused
 	}
@@ -22,6 +26,23 @@
 	return Decision{Attempt: ask.Attempt, Verdict: Queued}
 }
 
+// allRest reports whether every server in service refuses work for load, and until when.
+func (pool *Pool) allRest(now time.Time) (time.Time, bool) {
+	earliest := time.Time{}
+	for _, s := range pool.servers {
+		if s.phase != inService || s.member.Leaving {
+			continue
+		}
+		if !now.Before(s.restUntil) {
+			return time.Time{}, false
+		}
+		if earliest.IsZero() || s.restUntil.Before(earliest) {
+			earliest = s.restUntil
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
+
 // queueLimit bounds the wait in the queue to the time of a few requests.
 func (pool *Pool) queueLimit() int {
 	slots := 0
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -143,6 +143,7 @@
 
 func (pool *Pool) answered(now time.Time, s *server, report Report, g grant) {
 	s.recordFirstByte(report.FirstByte)
+	s.sheds = 0
 	if g.overdue {
 		if report.FirstByte < lateFactor*pool.suspectIn {
 			s.evidence.retract(now, report.Domain, g.added)
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -9,9 +9,11 @@
 
 // Slow start and load shedding.
 const (
-	rampLength   = 10 * time.Second // from one slot to all after a start or a readmission
-	shedFactor   = 0.7              // slots in use are cut to this share when the server sheds
-	shedRecovery = time.Second      // for each slot to come back after shedding
+	rampLength   = 10 * time.Second      // from one slot to all after a start or a readmission
+	shedFactor   = 0.7                   // slots in use are cut to this share when the server sheds
+	shedRecovery = time.Second           // for each slot to come back after shedding
+	firstRest    = 20 * time.Millisecond // without work after a refusal, doubled with each in a row
+	longestRest  = 2 * time.Second
 )
 
 // phase is where a server stands between service and ejection.
@@ -40,6 +42,8 @@
 	rampUntil     time.Time
 	shedLimit     float64 // slots left by shedding, 0 for all
 	shedAt        time.Time
+	sheds         int       // refusals in a row
+	restUntil     time.Time // no work before
 	lastGrant     time.Time
 	freshUntil    time.Time // new connections only until then
 	connected     float64   // estimate of open connections
@@ -80,14 +84,16 @@
 	return 1 - float64(left)/float64(rampLength)
 }
 
-// shed cuts the slots after the server refused work for load.
+// shed cuts the slots after the server refused work for load. One that goes on refusing gets none for a while.
 func (server *server) shed(now time.Time) {
 	server.shedLimit = max(1, float64(server.limit(now))*shedFactor)
 	server.shedAt = now
+	server.sheds++
+	server.restUntil = now.Add(min(longestRest, firstRest<<min(server.sheds-1, 16)))
 }
 
 func (server *server) hasRoom(now time.Time) bool {
-	return !server.member.Leaving && server.inFlight < server.limit(now)
+	return !server.member.Leaving && !now.Before(server.restUntil) && server.inFlight < server.limit(now)
 }
 
 // keepConnection counts a grant's connection and reports whether it may stay open afterwards.
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -110,12 +110,14 @@
 	return verdict
 }
 
+// ownerOf returns the owner of a key and the epoch since which it owns the key's partition.
 func (entry *Entry) ownerOf(key idempotency.Key) (idempotency.Incarnation, uint64) {
 	table := entry.keys.table()
 	if table == nil || len(table.Partitions) == 0 {
 		return "", 0
 	}
-	return table.Partitions[key.Partition()].Owner, table.Epoch
+	row := table.Partitions[key.Partition()]
+	return row.Owner, row.Since
 }
 
 func (entry *Entry) peerNamed(name string) Peer {
--- a/testing/scenario/commands_test.go
+++ b/testing/scenario/commands_test.go
@@ -15,6 +15,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	backend "github.com/sequoiaspan/sequoiaspan/adapters/backend/http"
+	"github.com/sequoiaspan/sequoiaspan/entry"
 	"github.com/sequoiaspan/sequoiaspan/testing/standin"
 )
 
@@ -55,6 +56,10 @@
 		"pause":     cmdPause,
 		"lost":      cmdLost,
 		"most":      cmdMost,
+		"home-of":   cmdHomeOf,
+		"hush":      cmdHush,
+		"in-force":  cmdInForce,
+		"count":     cmdCount,
 	}
 }
 
@@ -271,6 +276,9 @@
 	content, readErr := io.ReadAll(response.Body)
 	out := &strings.Builder{}
 	fmt.Fprintf(out, "status %d\n", response.StatusCode)
+	if response.Close {
+		fmt.Fprintln(out, "the connection is closed")
+	}
 	for _, name := range slices.Sorted(maps.Keys(response.Header)) {
 		fmt.Fprintf(out, "%s: %s\n", strings.ToLower(name), strings.Join(response.Header[name], ", "))
 	}
@@ -436,6 +444,59 @@
 	}
 }
 
+// cmdHomeOf finds the home of a slice: home-of SLICE. It sets HOME_ENTRY, and OTHER_ENTRY and THIRD_ENTRY to others.
+func cmdHomeOf(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	home := ""
+	ts.Check(await("a home of "+args[0], func() (bool, string) {
+		for _, p := range w.entries {
+			status, err := standin.Status(context.Background(), w.client("operator"), p.settings.Operator)
+			if err == nil && slices.ContainsFunc(status.Slices, func(s entry.SliceStatus) bool { return s.Slice == args[0] }) {
+				home = p.settings.Name
+				return true, ""
+			}
+		}
+		return false, "none"
+	}))
+	ts.Setenv("HOME_ENTRY", home)
+	names := []string{"OTHER_ENTRY", "THIRD_ENTRY"}
+	for _, p := range w.entries {
+		if p.settings.Name != home && len(names) > 0 {
+			ts.Setenv(names[0], p.settings.Name)
+			names = names[1:]
+		}
+	}
+}
+
+// cmdInForce waits until entry instances have a version of the rules in force: in-force VERSION INSTANCE...
+func cmdInForce(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	for _, name := range args[1:] {
+		p, err := w.entry(name)
+		ts.Check(err)
+		ts.Check(await(name+" has version "+args[0], func() (bool, string) {
+			status, err := standin.Status(context.Background(), w.client("operator"), p.settings.Operator)
+			return err == nil && status.RulesVersion == uint64(atoi(args[0])), fmt.Sprintf("version %d, %v", status.RulesVersion, err)
+		}))
+	}
+}
+
+// cmdCount checks how many results a load that has stopped had of a kind: count NAME RESULT LEAST MOST.
+func cmdCount(ts *testscript.TestScript, _ bool, args []string) {
+	l := worldOf(ts).loads[args[0]]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	got := 0
+	for result, n := range l.results {
+		if strings.HasPrefix(result, args[1]) {
+			got += n
+		}
+	}
+	if got < atoi(args[2]) || got > atoi(args[3]) {
+		ts.Fatalf("%d results of kind %s: %v", got, args[1], l.results)
+	}
+}
+
 // cmdPause lets time pass, for what must not happen meanwhile: pause DURATION.
 func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
 	length, err := time.ParseDuration(args[0])
--- a/testing/scenario/relay_test.go
+++ b/testing/scenario/relay_test.go
@@ -17,6 +17,8 @@
 	open     *sync.Cond
 	inCut    bool // nothing reaches the target
 	outCut   bool // nothing comes back
+	silent   int  // connections up to this number are silent for good
+	count    int
 	closed   bool
 }
 
@@ -60,24 +62,28 @@
 }
 
 func (r *relay) pass(conn net.Conn) {
+	r.mu.Lock()
+	r.count++
+	number := r.count
+	r.mu.Unlock()
 	defer conn.Close()
 	target, err := net.Dial("tcp", r.target.String())
 	if err != nil {
 		return
 	}
 	defer target.Close()
-	go r.copy(target, conn, &r.inCut)
-	r.copy(conn, target, &r.outCut)
+	go r.copy(target, conn, number, &r.inCut)
+	r.copy(conn, target, number, &r.outCut)
 }
 
 // copy passes bytes on; while its way is cut they wait, as in a network that lost them and sends them again.
-func (r *relay) copy(to, from net.Conn, cut *bool) {
+func (r *relay) copy(to, from net.Conn, number int, cut *bool) {
 	defer to.Close()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		r.mu.Lock()
-		for *cut && !r.closed {
+		for (*cut || number <= r.silent) && !r.closed {
 			r.open.Wait()
 		}
 		closed := r.closed
@@ -91,9 +97,44 @@
 	}
 }
 
-// cmdRelay lists an entry instance under a relay's address: relay INSTANCE.
+// hush makes the connections that are open now silent for good; new ones work.
+func (r *relay) hush() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = r.count
+}
+
+// cmdHush makes a backend server's open connections silent for good: hush SERVER.
+func cmdHush(ts *testscript.TestScript, _ bool, args []string) {
+	worldOf(ts).relays[args[0]].hush()
+}
+
+// relayServer lists a backend server under a relay's address.
+func (w *world) relayServer(name string) (bool, error) {
+	for i := range w.listed {
+		if w.listed[i].Name != name {
+			continue
+		}
+		r, err := newRelay(w.listed[i].Address)
+		if err != nil {
+			return false, err
+		}
+		w.relays[name] = r
+		w.listed[i].Address = r.address()
+		w.publishList()
+		return true, nil
+	}
+	return false, nil
+}
+
+// cmdRelay lists an entry instance or a backend server under a relay's address: relay NAME.
 func cmdRelay(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
+	done, err := w.relayServer(args[0])
+	ts.Check(err)
+	if done {
+		return
+	}
 	p, err := w.entry(args[0])
 	ts.Check(err)
 	r, err := newRelay(p.settings.Peer)
