Share overload fairly, quarantine only what servers never answer, meet the cost goals

Cause and change, first failing, then passing: - overload: a team with a tenth of twice the capacity got half of its requests answered: a full queue now refuses the latest of the team with most in it; - a popular request was quarantined when it met two sick servers (23 refusals in 5300): what servers answered lately is above suspicion; a request that crashed one server runs at no second one at the same time as a third; - a home that had just started refused asks for want of its list (6 of 1062): it answers not-ready and the asker goes on to the deputy; - a grant cost 12.8 us and one allocation in a slice of 32; - a peer session cost 147 KB, both ends: smaller buffers; - tests that ran at once met on one port: an IP number for each process.

--- a/adapters/peer/yamux/yamux.go
+++ b/adapters/peer/yamux/yamux.go
@@ -21,7 +21,8 @@
 const (
 	protocolVersion = 1
 	maxFrameBytes   = 8 << 20
-	queuedFrames    = 4096 // frames waiting to be written on one stream
+	queuedFrames    = 256 // frames waiting to be written on one stream
+	bufferBytes     = 1 << 10
 	keepAlive       = 10 * time.Second
 	writeTimeout    = 5 * time.Second
 	helloTimeout    = 5 * time.Second
@@ -81,7 +82,7 @@
 
 func newStream(conn net.Conn) *stream {
 	return &stream{
-		conn: conn, reader: bufio.NewReader(conn),
+		conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes),
 		out: make(chan *wire.Frame, queuedFrames), done: make(chan struct{}),
 	}
 }
@@ -108,7 +109,7 @@
 // write writes queued frames until the stream is closed, several to a flush when they come fast.
 func (stream *stream) write() {
 	defer stream.close()
-	writer := bufio.NewWriter(stream.conn)
+	writer := bufio.NewWriterSize(stream.conn, bufferBytes)
 	for {
 		select {
 		case <-stream.done:
--- /dev/null
+++ b/adapters/peer/yamux/yamux_test.go
@@ -0,0 +1,262 @@
+package yamux
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/netip"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/shoenig/test/must"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"pgregory.net/rapid"
+
+	"github.com/sequoiaspan/sequoiaspan/adapters/peer/wire"
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+// grantAll grants every ask.
+type grantAll struct {
+	reports atomic.Int64
+	silent  atomic.Bool
+}
+
+var anyServer = netip.MustParseAddrPort("127.0.0.1:9")
+
+func (h *grantAll) HandleAsk(_ home.Slice, ask pool.Ask, reply func(pool.Decision, []pool.Ejected)) {
+	if h.silent.Load() {
+		return
+	}
+	if ask.Team == "queued" {
+		reply(pool.Decision{Attempt: ask.Attempt, Verdict: pool.Queued}, nil)
+	}
+	reply(pool.Decision{Attempt: ask.Attempt, Server: "balances-1", Domain: "domain-1", Address: anyServer, SuspectAt: time.Now().Add(time.Second)}, nil)
+}
+func (h *grantAll) HandleReport(home.Slice, pool.Report)          { h.reports.Add(1) }
+func (h *grantAll) HandleRenew(string, string, entry.Renewal)     {}
+func (h *grantAll) HandleSettle(idempotency.Settlement) bool      { return true }
+func (h *grantAll) HandlePullRules(uint64) (uint64, string)       { return 3, "rules" }
+func (h *grantAll) HandleTakeTokens(string, int) (int, time.Time) { return 2, time.Time{} }
+func (h *grantAll) HandleVersions(entry.Peer, uint64, uint64)     {}
+func (h *grantAll) MarkLeaving(string)                            {}
+func (h *grantAll) MarkStarted(string)                            {}
+func (h *grantAll) Versions() (uint64, uint64)                    { return 3, 4 }
+func (h *grantAll) PeerNamed(name string) (entry.Peer, bool)      { return entry.Peer{Name: name}, false }
+func (h *grantAll) HandleClaim(idempotency.Claim) idempotency.Verdict {
+	return idempotency.Verdict{Answer: idempotency.AlreadyRan, Status: 201}
+}
+func (h *grantAll) HandleHandover(handover idempotency.Handover) (idempotency.Keys, bool) {
+	return idempotency.Keys{Giver: "b/1", Partitions: handover.Partitions}, handover.Epoch > 1
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// pair is a client and a server on loopback.
+type pair struct {
+	client  *Client
+	handler *grantAll
+	peer    entry.Peer
+	bytes   atomic.Int64
+}
+
+func newPair(tb testing.TB) *pair {
+	tb.Helper()
+	p := &pair{handler: &grantAll{}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(tb, err)
+	p.peer = entry.Peer{Name: "entry-b", Address: listener.Addr().(*net.TCPAddr).AddrPort()}
+	tracer := noop.NewTracerProvider().Tracer("")
+	server := &Server{Handler: p.handler, Log: zap.NewNop(), Tracer: tracer, Clock: time.Now, MaxSessions: 1000}
+	ctx, cancel := context.WithCancel(context.Background())
+	var served sync.WaitGroup
+	served.Go(func() { _ = server.Serve(ctx, listener) })
+	p.client = &Client{
+		Name: "entry-a", Incarnation: "entry-a/1", Domain: "domain-0", Silence: 5 * time.Second, Log: zap.NewNop(), Tracer: tracer,
+		Clock: time.Now, Versions: p.handler.Versions, OnVersions: p.handler.HandleVersions,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countingConn{conn, &p.bytes}, nil
+		},
+	}
+	tb.Cleanup(func() {
+		p.client.Close()
+		cancel()
+		served.Wait()
+	})
+	return p
+}
+
+func TestCallsReachThePeer(t *testing.T) {
+	p := newPair(t)
+	ctx := t.Context()
+	decision, _, err := p.client.Ask(ctx, p.peer, home.Slice{Service: "balances"}, pool.Ask{Attempt: 7, Deadline: time.Now().Add(time.Second)})
+	must.NoError(t, err)
+	must.Eq(t, "balances-1", decision.Server)
+	must.Eq(t, anyServer, decision.Address)
+	decision, _, err = p.client.Ask(ctx, p.peer, home.Slice{Service: "balances"}, pool.Ask{Attempt: 8, Team: "queued", Deadline: time.Now().Add(time.Second)})
+	must.NoError(t, err)
+	must.Eq(t, pool.Granted, decision.Verdict)
+	verdict, err := p.client.Claim(ctx, p.peer, idempotency.Claim{Key: idempotency.Key{1}})
+	must.NoError(t, err)
+	must.Eq(t, 201, verdict.Status)
+	keys, known, err := p.client.Handover(ctx, p.peer, idempotency.Handover{Epoch: 2, Partitions: []int{3, 5}})
+	must.NoError(t, err)
+	must.True(t, known)
+	must.Eq(t, []int{3, 5}, keys.Partitions)
+	_, known, err = p.client.Handover(ctx, p.peer, idempotency.Handover{Epoch: 1})
+	must.NoError(t, err)
+	must.False(t, known)
+	version, text, err := p.client.PullRules(ctx, p.peer, 0)
+	must.NoError(t, err)
+	must.Eq(t, 3, version)
+	must.Eq(t, "rules", text)
+	granted, _, err := p.client.TakeTokens(ctx, p.peer, "agencies", 5)
+	must.NoError(t, err)
+	must.Eq(t, 2, granted)
+	must.NoError(t, p.client.Leaving(ctx, p.peer))
+}
+
+func TestSilentPeerIsPassedOver(t *testing.T) {
+	p := newPair(t)
+	p.client.Silence = 20 * time.Millisecond
+	p.handler.silent.Store(true)
+	_, _, err := p.client.Ask(t.Context(), p.peer, home.Slice{}, pool.Ask{Attempt: 1, Deadline: time.Now().Add(time.Minute)})
+	must.ErrorContains(t, err, "silent")
+	must.False(t, p.client.Reachable("entry-b"))
+}
+
+// TestBadFramesEndTheirSessionOnly sends malformed, oversized and unexpected frames; another session goes on.
+func TestBadFramesEndTheirSessionOnly(t *testing.T) {
+	p := newPair(t)
+	ask := func() {
+		_, _, err := p.client.Ask(t.Context(), p.peer, home.Slice{}, pool.Ask{Attempt: 1, Deadline: time.Now().Add(time.Minute)})
+		must.NoError(t, err)
+	}
+	ask()
+	oversized := binary.AppendUvarint(nil, maxFrameBytes+1)
+	for name, bad := range map[string][]byte{"malformed": {3, 0xff, 0xff, 0xff}, "oversized": oversized, "no hello": {2, 8, 1}} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", p.peer.Address.String())
+			must.NoError(t, err)
+			session, err := yamux.Client(conn, sessionConfig(zap.NewNop()))
+			must.NoError(t, err)
+			defer session.Close()
+			stream, err := session.OpenStream()
+			must.NoError(t, err)
+			if name != "no hello" {
+				_, err = protodelim.MarshalTo(stream, &wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Protocol: protocolVersion, Name: "x"}}})
+				must.NoError(t, err)
+			}
+			_, err = stream.Write(bad)
+			must.NoError(t, err)
+			_, err = io.ReadAll(stream)
+			must.True(t, err == nil || isClosed(err), must.Sprint(err))
+			ask()
+		})
+	}
+}
+
+// TestMessagesSurviveTheWire converts asks, decisions, reports and keys there and back.
+func TestMessagesSurviveTheWire(t *testing.T) {
+	now := time.Now()
+	rapid.Check(t, func(t *rapid.T) {
+		report := pool.Report{
+			Attempt: rapid.Uint64().Draw(t, "attempt"), Server: rapid.String().Draw(t, "server"),
+			Outcome:   pool.Outcome(rapid.IntRange(0, 9).Draw(t, "outcome")),
+			FirstByte: time.Duration(rapid.Int64Range(0, 1<<40).Draw(t, "first-byte")), Reused: rapid.Bool().Draw(t, "reused"),
+			Overdue: rapid.Bool().Draw(t, "overdue"), Leaving: rapid.Bool().Draw(t, "leaving"),
+		}
+		_, back := reportFrom(reportTo(home.Slice{}, report))
+		if back != report {
+			t.Fatalf("%+v became %+v", report, back)
+		}
+		record := idempotency.Record{
+			Key: idempotency.Key{1, rapid.Byte().Draw(t, "key")}, Attempt: rapid.Uint64().Draw(t, "attempt"),
+			State: idempotency.State(rapid.IntRange(0, 2).Draw(t, "state")), Status: rapid.IntRange(0, 599).Draw(t, "status"),
+			Expires: now.Add(time.Hour), RunBy: now.Add(time.Duration(rapid.Int64Range(1, 1<<40).Draw(t, "run"))),
+		}
+		keys := idempotency.Keys{Giver: "a/1", Epoch: 4, Partitions: []int{7}, Records: []idempotency.Record{record}, Floors: map[int]time.Time{7: now}}
+		got := keysFrom(keysTo(keys, true, now).GetKeys(), now)
+		if got.Records[0] != record || !got.Floors[7].Equal(now) || got.Partitions[0] != 7 {
+			t.Fatalf("%+v became %+v", keys, got)
+		}
+	})
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// BenchmarkAsk is an ask, its decision and its report between two entry instances, with the bytes on the connection.
+func BenchmarkAsk(b *testing.B) {
+	p := newPair(b)
+	slice := home.Slice{Service: "balances"}
+	deadline := time.Now().Add(time.Hour)
+	ask := func(attempt uint64) {
+		d, _, err := p.client.Ask(b.Context(), p.peer, slice, pool.Ask{Attempt: attempt, Team: "agencies", Idempotent: true, Number: 1, Deadline: deadline, Fingerprint: 1 << 60})
+		must.NoError(b, err)
+		must.NoError(b, p.client.Report(b.Context(), p.peer, slice, pool.Report{Attempt: attempt, Server: d.Server, FirstByte: 20 * time.Millisecond, Fingerprint: 1 << 60}))
+	}
+	ask(1)
+	before := p.bytes.Load()
+	n := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		ask(1<<60 + n)
+	}
+	b.ReportMetric(float64(p.bytes.Load()-before)/float64(n), "wire-bytes/op")
+}
+
+// BenchmarkSession reports the memory of one open session, both ends.
+func BenchmarkSession(b *testing.B) {
+	p := newPair(b)
+	var clients []*Client
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for b.Loop() {
+		c := &Client{
+			Name: "x", Silence: 5 * time.Second, Log: zap.NewNop(), Tracer: p.client.Tracer, Clock: time.Now,
+			Versions: p.client.Versions, OnVersions: p.client.OnVersions,
+		}
+		_, _, err := c.PullRules(b.Context(), p.peer, 0)
+		must.NoError(b, err)
+		clients = append(clients, c)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc+after.StackInuse-before.HeapAlloc-before.StackInuse)/float64(len(clients)), "bytes/session")
+	for _, c := range clients {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/core/home/home_test.go
@@ -0,0 +1,75 @@
+package home
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
+)
+
+func entries(n, domains int) []instance.Entry {
+	var out []instance.Entry
+	for i := range n {
+		out = append(out, instance.Entry{Name: fmt.Sprintf("entry-%d", i), Domain: fmt.Sprintf("d%d", i%domains)})
+	}
+	return out
+}
+
+func TestDeputyIsInAnotherDomain(t *testing.T) {
+	candidates := Candidates(entries(48, 3))
+	for i := range 500 {
+		first, deputy := Choose(Slice{Service: fmt.Sprintf("service-%d", i)}, candidates)
+		must.NotEq(t, candidates[first].Entry.Domain, candidates[deputy].Entry.Domain)
+	}
+}
+
+func TestOneChangeMovesOnlyItsSlices(t *testing.T) {
+	all := entries(48, 3)
+	before := Candidates(all)
+	all[7].State = instance.Leaving
+	after := Candidates(all)
+	moved := 0
+	for i := range 1000 {
+		slice := Slice{Service: fmt.Sprintf("service-%d", i)}
+		a, _ := Choose(slice, before)
+		b, _ := Choose(slice, after)
+		if before[a].Entry.Name != after[b].Entry.Name {
+			must.Eq(t, "entry-7", before[a].Entry.Name)
+			moved++
+		}
+	}
+	must.Between(t, 5, moved, 60)
+}
+
+func TestFewCandidates(t *testing.T) {
+	first, deputy := Choose(Slice{Service: "a"}, nil)
+	must.Eq(t, []int{-1, -1}, []int{first, deputy})
+	first, deputy = Choose(Slice{Service: "a"}, Candidates(entries(1, 1)))
+	must.Eq(t, []int{0, -1}, []int{first, deputy})
+	first, deputy = Choose(Slice{Service: "a"}, Candidates(entries(2, 1)))
+	must.NotEq(t, first, deputy)
+}
+
+func TestSlicesCoverAllServers(t *testing.T) {
+	must.Eq(t, 1, Slices(0))
+	must.Eq(t, 1, Slices(32))
+	must.Eq(t, 2, Slices(33))
+	for i := range 100 {
+		must.Between(t, 0, IndexOf(fmt.Sprintf("server-%d", i), 4), 3)
+	}
+}
+
+// BenchmarkChoose places one slice.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{48, 220, 880} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			candidates := Candidates(entries(n, 6))
+			b.ReportAllocs()
+			for b.Loop() {
+				Choose(Slice{Service: "balances"}, candidates)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/pool/bench_test.go
@@ -0,0 +1,90 @@
+package pool_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+)
+
+// Pool sizes: the smallest of today, the largest of today, a full slice.
+var poolSizes = []int{6, 16, 32}
+
+func benchPool(servers int) *pool.Pool {
+	p := &pool.Pool{}
+	p.SetPolicy(pool.Policy{Floor: 0.75, Slots: 6, Connections: 400})
+	var members []pool.Member
+	for i := range servers {
+		members = append(members, pool.Member{
+			Name: fmt.Sprintf("server-%d", i), Domain: fmt.Sprintf("d%d", i%3), Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)),
+		})
+	}
+	p.SetServers(benchStart, members)
+	return p
+}
+
+// BenchmarkGrant is a grant and its report.
+func BenchmarkGrant(b *testing.B) {
+	for _, servers := range poolSizes {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			p := benchPool(servers)
+			now := benchStart
+			b.ReportAllocs()
+			for attempt := uint64(1); b.Loop(); attempt++ {
+				now = now.Add(time.Millisecond)
+				ask := pool.Ask{Attempt: attempt, Entry: "entry-1", Domain: "d1", Idempotent: true, Number: 1, Deadline: now.Add(time.Second)}
+				d := p.Ask(now, ask)
+				p.Report(now, pool.Report{Attempt: attempt, Server: d.Server, Entry: "entry-1", Domain: "d1", Outcome: pool.Answered, FirstByte: time.Millisecond})
+			}
+		})
+	}
+}
+
+// BenchmarkGrantBusy is a grant and its report with half of the slots taken.
+func BenchmarkGrantBusy(b *testing.B) {
+	p := benchPool(32)
+	now := benchStart
+	for attempt := range uint64(96) {
+		p.Ask(now, pool.Ask{Attempt: 1<<40 + attempt, Entry: "entry-1", Domain: "d1", Number: 1, Deadline: now.Add(time.Second)})
+	}
+	b.ReportAllocs()
+	for attempt := uint64(1); b.Loop(); attempt++ {
+		now = now.Add(time.Microsecond)
+		d := p.Ask(now, pool.Ask{Attempt: attempt, Entry: "entry-2", Domain: "d2", Idempotent: true, Number: 1, Deadline: now.Add(time.Second)})
+		p.Report(now, pool.Report{Attempt: attempt, Server: d.Server, Entry: "entry-2", Domain: "d2", Outcome: pool.Answered, FirstByte: time.Millisecond})
+	}
+}
+
+// BenchmarkTick is one tick of a pool without ejected servers.
+func BenchmarkTick(b *testing.B) {
+	for _, servers := range poolSizes {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			p := benchPool(servers)
+			now := benchStart
+			for attempt := range uint64(servers * 100) {
+				now = now.Add(time.Millisecond)
+				d := p.Ask(now, pool.Ask{Attempt: attempt + 1, Entry: "e", Domain: "d1", Number: 1, Deadline: now.Add(time.Second)})
+				p.Report(now, pool.Report{Attempt: attempt + 1, Server: d.Server, Outcome: pool.Answered, FirstByte: time.Millisecond})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(benchTick)
+				p.Tick(now)
+			}
+		})
+	}
+}
+
+// BenchmarkTakeover is a new home's taking over of the grants held by 48 entry instances, two each.
+func BenchmarkTakeover(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		p := benchPool(32)
+		for entry := range uint64(48) {
+			held := []pool.Held{{Attempt: 2 * entry, Server: "server-1"}, {Attempt: 2*entry + 1, Server: "server-2"}}
+			p.Renew(benchStart, "entry", "d1", held)
+		}
+	}
+}
--- a/core/pool/choice.go
+++ b/core/pool/choice.go
@@ -20,17 +20,18 @@
 // choose returns the server for an ask and its rank, or nil when none has room.
 func (pool *Pool) choose(now time.Time, ask *Ask) (*server, rank) {
 	var best *server
-	bestRank := rankNone
+	bestRank, bestLimit := rankNone, 0
 	for _, s := range pool.servers {
-		if !s.hasRoom(now) {
+		limit := s.limit(now)
+		if s.inFlight >= limit || !s.open(now) {
 			continue
 		}
 		r := pool.rankOf(now, ask, s)
 		if r > bestRank || r == rankNone {
 			continue
 		}
-		if r < bestRank || lessLoaded(now, s, best) {
-			best, bestRank = s, r
+		if r < bestRank || lessLoaded(s, limit, best, bestLimit) {
+			best, bestRank, bestLimit = s, r, limit
 		}
 	}
 	return best, bestRank
@@ -92,9 +93,9 @@
 	return false
 }
 
-// lessLoaded orders by share of slots in use, then by the time of the latest grant.
-func lessLoaded(now time.Time, a, b *server) bool {
-	loadA, loadB := a.inFlight*b.limit(now), b.inFlight*a.limit(now)
+// lessLoaded orders by share of the limit in use, then by the time of the latest grant.
+func lessLoaded(a *server, limitA int, b *server, limitB int) bool {
+	loadA, loadB := a.inFlight*limitB, b.inFlight*limitA
 	if loadA != loadB {
 		return loadA < loadB
 	}
--- a/core/pool/ejection.go
+++ b/core/pool/ejection.go
@@ -56,6 +56,9 @@
 // While all asks come from one failure domain there is nothing beside it. With all asks from one entry instance
 // a fault of its path cannot be told from one of the server: more evidence is needed then.
 func (pool *Pool) convicted(now time.Time, s *server) bool {
+	if s.evidence.overall.sum < quickThreshold {
+		return false
+	}
 	overall, beside := pool.threshold(now)
 	if pool.vantages.soleEntry(now) {
 		overall *= soleEntryFactor
--- a/core/pool/measure_test.go
+++ b/core/pool/measure_test.go
@@ -80,6 +80,7 @@
 	wasEjected             map[string]bool
 	ejectedAt              []time.Duration
 	lostHow                []string
+	byTeam                 map[string]int // answers
 }
 
 type benchServer struct {
@@ -116,7 +117,7 @@
 func newBench(seed uint64, servers, slots int, make func(*bench) policy) *bench {
 	b := &bench{
 		random: rand.New(rand.NewPCG(seed, 1)), now: benchStart, slots: slots, noise: 0.001, tail: 0.005, slowness: 1,
-		wasEjected: map[string]bool{},
+		wasEjected: map[string]bool{}, byTeam: map[string]int{},
 	}
 	for i := range servers {
 		b.servers = append(b.servers, &benchServer{name: fmt.Sprintf("s%d", i), domain: i % benchDomains})
@@ -168,14 +169,16 @@
 }
 
 // arrivals sends requests at a rate per second until the time has passed.
-func (b *bench) arrivals(rate float64, d time.Duration) {
+func (b *bench) arrivals(rate float64, d time.Duration) { b.teamArrivals("", rate, d) }
+
+func (b *bench) teamArrivals(team string, rate float64, d time.Duration) {
 	until := b.now.Add(d)
 	var next func()
 	next = func() {
 		if !b.now.Before(until) {
 			return
 		}
-		b.request()
+		b.request(team)
 		b.after(time.Duration(b.random.ExpFloat64()/rate*float64(time.Second)), next)
 	}
 	next()
@@ -184,14 +187,15 @@
 // benchRequest is one idempotent request of a caller.
 type benchRequest struct {
 	bench    *bench
+	team     string
 	entry    int
 	state    retry.Request
 	deadline time.Time
 	done     bool
 }
 
-func (b *bench) request() {
-	r := &benchRequest{bench: b, entry: b.random.IntN(benchEntries), deadline: b.now.Add(benchDeadline)}
+func (b *bench) request(team string) {
+	r := &benchRequest{bench: b, team: team, entry: b.random.IntN(benchEntries), deadline: b.now.Add(benchDeadline)}
 	r.state = retry.Request{Idempotent: true, Attempts: rules.DefaultAttempts, Deadline: r.deadline}
 	r.do(r.state.Start(b.now))
 	b.after(benchDeadline, func() {
@@ -224,7 +228,7 @@
 		b.attempts++
 		ask := pool.Ask{
 			Attempt: b.attempts, Entry: fmt.Sprintf("e%d", r.entry), Domain: fmt.Sprintf("d%d", r.entry%benchDomains),
-			Idempotent: true, Hedge: action.Hedge, Number: r.state.Number(), Exclude: slices.Clone(r.state.Tried()), Deadline: r.deadline,
+			Team: r.team, Idempotent: true, Hedge: action.Hedge, Number: r.state.Number(), Exclude: slices.Clone(r.state.Tried()), Deadline: r.deadline,
 		}
 		b.after(action.At.Sub(b.now)+2*benchHop, func() {
 			if r.done {
@@ -284,6 +288,7 @@
 				if !r.done {
 					r.done = true
 					b.answered++
+					b.byTeam[r.team]++
 				}
 				return
 			}
@@ -616,3 +621,25 @@
 		})
 	}
 }
+
+// TestMeasureOverload sends twice what the slots can run, nine tenths of it from one team, and checks goodput and shares.
+func TestMeasureOverload(t *testing.T) {
+	const length = 30 * time.Second
+	for _, s := range deployments {
+		t.Run(strings.ReplaceAll(s.name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			b := newBench(7, s.servers, s.slots, newPooled(s.ejection))
+			mean := benchWork.Seconds() * math.Exp(0.4*0.4/2) * (1 + 9*b.tail)
+			capacity := float64(s.servers*s.slots) / mean
+			b.teamArrivals("large", 1.8*capacity, length)
+			b.teamArrivals("small", 0.2*capacity, length)
+			b.run(length)
+			goodput := float64(b.answered) / length.Seconds()
+			small := float64(b.byTeam["small"]) / (0.2 * capacity * length.Seconds())
+			t.Logf("%-18s twice the capacity of %.0f/s: goodput %.0f/s, %.0f %% of the small team's requests answered, %d ejections", s.name, capacity, goodput, 100*small, b.ejections)
+			test.GreaterEq(t, 0.9*capacity, goodput)
+			test.GreaterEq(t, 0.9, small, test.Sprint("a team below its fair share gets what it asks for"))
+			test.Eq(t, 0, b.ejections)
+		})
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -17,6 +17,7 @@
 	fullRetryAfter  = time.Second
 	noServerRetry   = 2 * time.Second
 	budgetRetry     = time.Second
+	suspiciousRetry = time.Second     // for a request that crashed one server, while it runs at another
 	connectionTau   = 5 * time.Second // time constant of the estimate of open connections
 	connectionShare = 0.8             // share of a server's connections that grants may use
 )
@@ -63,6 +64,8 @@
 	Quarantined
 	// Limited means that the service's request limit is reached.
 	Limited
+	// NotReady means that the asked instance does not know the service's backend servers yet; another is to be asked.
+	NotReady
 )
 
 // Decision answers an Ask.
@@ -85,6 +88,7 @@
 	policy     Policy
 	servers    []*server
 	grants     map[uint64]grant
+	teams      map[string]int // requests in flight by team
 	waiters    []waiter
 	ready      []Decision
 	budget     budget
@@ -114,18 +118,15 @@
 	return slices.Contains(recent.attempts[:], attempt)
 }
 
-// grant is one outstanding permission.
+// grant is one outstanding permission. It stays below the size beyond which maps keep values apart.
 type grant struct {
 	server      *server
-	entry       string
-	domain      string
 	team        string
-	granted     time.Time
 	expires     time.Time
-	overdue     bool
 	added       float64 // evidence that being overdue added
-	verifies    bool    // sent to a suspect to confirm or clear it
 	fingerprint uint64
+	overdue     bool
+	verifies    bool // sent to a suspect to confirm or clear it
 }
 
 // SetPolicy replaces the policy.
@@ -169,6 +170,7 @@
 	pool.policy = pool.policy.withDefaults()
 	pool.born = now
 	pool.grants = map[uint64]grant{}
+	pool.teams = map[string]int{}
 	pool.suspectIn = coldSuspectIn
 }
 
@@ -192,6 +194,9 @@
 	if until, found := pool.quarantine.Until(now, ask.Fingerprint); found {
 		return Decision{Attempt: ask.Attempt, Verdict: Quarantined, RetryAt: until}
 	}
+	if pool.quarantine.Suspicious(now, ask.Fingerprint) && pool.running(ask.Fingerprint) {
+		return Decision{Attempt: ask.Attempt, Verdict: Quarantined, RetryAt: now.Add(suspiciousRetry)}
+	}
 	if ask.Number <= 1 && !pool.rate.take(now, pool.policy.Limit) {
 		return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: pool.rate.nextAt(now, pool.policy.Limit)}
 	}
@@ -209,14 +214,24 @@
 	return pool.enqueue(now, ask)
 }
 
+// running reports whether a request is at a server now.
+func (pool *Pool) running(fingerprint uint64) bool {
+	for _, g := range pool.grants {
+		if g.fingerprint == fingerprint {
+			return true
+		}
+	}
+	return false
+}
+
 // grant takes a slot of the server.
 func (pool *Pool) grant(now time.Time, ask *Ask, s *server, r rank) Decision {
 	g := grant{
-		server: s, entry: ask.Entry, domain: ask.Domain, team: ask.Team,
-		granted: now, expires: now.Add(leaseLength), verifies: r == rankVerify, fingerprint: ask.Fingerprint,
+		server: s, team: ask.Team, expires: now.Add(leaseLength), verifies: r == rankVerify, fingerprint: ask.Fingerprint,
 	}
 	pool.grants[ask.Attempt] = g
 	s.inFlight++
+	pool.hold(ask.Team, 1)
 	if g.verifies {
 		s.verifying++
 		s.lastPathTrial = now
@@ -245,6 +260,7 @@
 // Renew extends an entry's grants, and takes over those that this pool does not know.
 func (pool *Pool) Renew(now time.Time, entry, domain string, held []Held) {
 	pool.init(now)
+	pool.vantages.see(now, domain, entry)
 	for _, h := range held {
 		if pool.ended.has(h.Attempt) {
 			continue
@@ -256,7 +272,8 @@
 				continue
 			}
 			s.inFlight++
-			g = grant{server: s, entry: entry, domain: domain, team: h.Team, granted: now}
+			pool.hold(h.Team, 1)
+			g = grant{server: s, team: h.Team}
 		}
 		g.expires = now.Add(leaseLength)
 		pool.grants[h.Attempt] = g
@@ -277,6 +294,7 @@
 	delete(pool.grants, attempt)
 	pool.ended.add(attempt)
 	g.server.inFlight--
+	pool.hold(g.team, -1)
 	if g.verifies {
 		g.server.verifying--
 	}
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -19,7 +19,10 @@
 		refused.RetryAt = restUntil
 		return refused
 	}
-	if ask.Hedge || !now.Before(ask.Deadline) || len(pool.waiters) >= pool.queueLimit() {
+	if ask.Hedge || !now.Before(ask.Deadline) {
+		return refused
+	}
+	if len(pool.waiters) >= pool.queueLimit() && !pool.displace(now, ask.Team) {
 		return refused
 	}
 	pool.waiters = append(pool.waiters, waiter{ask, now})
@@ -82,19 +85,49 @@
 	if len(pool.waiters) == 1 {
 		return 0
 	}
-	load := make(map[string]int, 8)
-	for _, g := range pool.grants {
-		load[g.team]++
-	}
 	best := 0
 	for i := range pool.waiters {
-		if load[pool.waiters[i].ask.Team] < load[pool.waiters[best].ask.Team] {
+		if pool.teams[pool.waiters[i].ask.Team] < pool.teams[pool.waiters[best].ask.Team] {
 			best = i
 		}
 	}
 	return best
 }
 
+// displace makes room in a full queue for a team with fewer waiters than another: the other's latest is refused.
+func (pool *Pool) displace(now time.Time, team string) bool {
+	waiting := make(map[string]int, 8)
+	largest := team
+	for i := range pool.waiters {
+		other := pool.waiters[i].ask.Team
+		waiting[other]++
+		if waiting[other] > waiting[largest] {
+			largest = other
+		}
+	}
+	if waiting[largest] <= waiting[team]+1 {
+		return false
+	}
+	for i := len(pool.waiters) - 1; i >= 0; i-- {
+		if pool.waiters[i].ask.Team != largest {
+			continue
+		}
+		refused := Decision{Attempt: pool.waiters[i].ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)}
+		pool.removeWaiter(i)
+		pool.ready = append(pool.ready, refused)
+		return true
+	}
+	return false
+}
+
+// hold counts a team's requests in flight.
+func (pool *Pool) hold(team string, change int) {
+	pool.teams[team] += change
+	if pool.teams[team] <= 0 {
+		delete(pool.teams, team)
+	}
+}
+
 func (pool *Pool) removeWaiter(i int) {
 	pool.waiters = append(pool.waiters[:i], pool.waiters[i+1:]...)
 }
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -137,7 +137,7 @@
 			pool.quarantine.Lost(now, report.Fingerprint, s.member.Name)
 		}
 	case Answered:
-		pool.quarantine.Ran(report.Fingerprint)
+		pool.quarantine.Ran(now, report.Fingerprint)
 	}
 }
 
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -68,6 +68,9 @@
 	if server.phase != inService {
 		return 0
 	}
+	if server.shedLimit == 0 && !now.Before(server.rampUntil) {
+		return server.slots
+	}
 	limit := float64(server.slots) * server.rampShare(now)
 	if server.shedLimit > 0 {
 		limit = min(limit, server.shedLimit+float64(now.Sub(server.shedAt))/float64(shedRecovery))
@@ -92,8 +95,9 @@
 	server.restUntil = now.Add(min(longestRest, firstRest<<min(server.sheds-1, 16)))
 }
 
-func (server *server) hasRoom(now time.Time) bool {
-	return !server.member.Leaving && !now.Before(server.restUntil) && server.inFlight < server.limit(now)
+// open reports whether the server takes new work at all.
+func (server *server) open(now time.Time) bool {
+	return !server.member.Leaving && !now.Before(server.restUntil)
 }
 
 // keepConnection counts a grant's connection and reports whether it may stay open afterwards.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -47,8 +47,7 @@
 	}
 	var listed []instances.Entry
 	for i := range entries {
-		s, err := standin.EntrySettings(platform, i, 3)
-		must.NoError(tb, err)
+		s := standin.EntrySettings(platform, i, 3)
 		f.settings = append(f.settings, s)
 		listed = append(listed, standin.ListedEntry(&s))
 	}
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -37,7 +37,7 @@
 		}
 		grant.peer = Peer{at.Name, at.Peer}
 		decision, err := entry.askPeer(ctx, grant.peer, slice, ask)
-		if err == nil {
+		if err == nil && decision.Verdict != pool.NotReady {
 			return grant.taken(decision)
 		}
 		if ctx.Err() != nil {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -12,6 +12,10 @@
 func (entry *Entry) HandleAsk(slice home.Slice, ask pool.Ask, reply func(pool.Decision, []pool.Ejected)) {
 	entry.count("home.asks")
 	now := entry.Clock()
+	if len(entry.members.plan().servers[slice.Service]) == 0 {
+		reply(pool.Decision{Attempt: ask.Attempt, Verdict: pool.NotReady, RetryAt: now}, nil)
+		return
+	}
 	entry.homes.ask(now, &entry.members, slice, ask, func(decision pool.Decision) {
 		reply(decision, entry.ejectedIn(slice))
 	})
--- /dev/null
+++ b/entry/members_test.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
+)
+
+func listOf(entries, servers, services int) instance.List {
+	list := instance.List{AsOf: time.Unix(1_800_000_000, 0)}
+	for i := range entries {
+		list.Entries = append(list.Entries, instance.Entry{
+			Name: fmt.Sprintf("entry-%d", i), Domain: fmt.Sprintf("domain-%d", i%6), Caller: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)),
+		})
+	}
+	for i := range servers {
+		list.Servers = append(list.Servers, instance.Server{
+			Name: fmt.Sprintf("server-%d", i), Service: fmt.Sprintf("service-%d", i%services), Domain: fmt.Sprintf("domain-%d", i%6),
+		})
+	}
+	return list
+}
+
+// alwaysReachable stands in for peers in tests that send nothing.
+type alwaysReachable struct{ Peers }
+
+func (alwaysReachable) Reachable(string) bool { return true }
+
+func newTestEntry(list instance.List) *Entry {
+	e := &Entry{Name: "entry-0", Incarnation: "entry-0/1", Peers: alwaysReachable{}}
+	e.Init()
+	e.ApplyList(list)
+	return e
+}
+
+func TestDirectoryDropsLeavingInstancesAndSpreadsCallers(t *testing.T) {
+	e := newTestEntry(listOf(5, 4, 1))
+	first := map[string]bool{}
+	for range 10 {
+		directory := e.Lookup("service-0", "", "")
+		must.SliceLen(t, 5, directory.Addresses)
+		first[directory.Addresses[0].Name] = true
+	}
+	must.MapLen(t, 5, first)
+	must.Eq(t, "domain-2", e.Lookup("service-0", "domain-2", "").Addresses[0].Domain)
+	e.MarkLeaving("entry-3")
+	for _, address := range e.Lookup("service-0", "", "").Addresses {
+		must.NotEq(t, "entry-3", address.Name)
+	}
+}
+
+func TestLeavingWinsOverAnOlderList(t *testing.T) {
+	e := newTestEntry(listOf(3, 1, 1))
+	e.MarkLeaving("entry-1")
+	e.ApplyList(listOf(3, 1, 1))
+	must.SliceLen(t, 2, e.Lookup("service-0", "", "").Addresses)
+	e.MarkStarted("entry-1")
+	must.SliceLen(t, 3, e.Lookup("service-0", "", "").Addresses)
+}
+
+func TestEmptyOrOlderListsAreNotTaken(t *testing.T) {
+	e := newTestEntry(listOf(3, 1, 1))
+	e.ApplyList(instance.List{AsOf: time.Unix(1_900_000_000, 0)})
+	older := listOf(1, 1, 1)
+	older.AsOf = older.AsOf.Add(-time.Second)
+	e.ApplyList(older)
+	must.SliceLen(t, 3, e.Lookup("service-0", "", "").Addresses)
+}
+
+// TestRulesNeverGoBack offers versions in any order, some of them invalid.
+func TestRulesNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := newTestEntry(listOf(1, 1, 1))
+		highest := uint64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "offers") {
+			version := rapid.Uint64Range(1, 20).Draw(t, "version")
+			text := fmt.Sprintf("service service-%d # asked by: test\n", version)
+			if rapid.IntRange(0, 3).Draw(t, "invalid") == 0 {
+				text = "nonsense\n"
+			} else {
+				highest = max(highest, version)
+			}
+			e.ApplyRules(version, text)
+			set, inForce := e.Rules()
+			if inForce != highest {
+				t.Fatalf("version %d is in force, %d was accepted", inForce, highest)
+			}
+			if inForce > 0 && set.Service(fmt.Sprintf("service-%d", inForce)) == nil {
+				t.Fatalf("version %d has another version's rules", inForce)
+			}
+		}
+	})
+}
+
+func TestPullingWithoutPeersEnds(t *testing.T) {
+	e := newTestEntry(instance.List{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	e.pullFromSome(ctx)
+}
+
+// BenchmarkListChange takes in a changed list and rebuilds the plan, and reports the memory of both.
+func BenchmarkListChange(b *testing.B) {
+	for _, size := range []struct{ entries, servers, services int }{{48, 41, 4}, {220, 2750, 125}, {880, 11_000, 500}} {
+		b.Run(fmt.Sprintf("entries=%d/servers=%d", size.entries, size.servers), func(b *testing.B) {
+			var before, after runtime.MemStats
+			list := listOf(size.entries, size.servers, size.services)
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			e := newTestEntry(list)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for i := 0; b.Loop(); i++ {
+				list.Servers[0].Slots = i + 1
+				e.ApplyList(list)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
+		})
+	}
+}
+
+// BenchmarkPlaces places all slices of a fleet after a change.
+func BenchmarkPlaces(b *testing.B) {
+	for _, size := range []struct{ entries, services int }{{48, 4}, {220, 125}, {880, 500}} {
+		b.Run(fmt.Sprintf("entries=%d/services=%d", size.entries, size.services), func(b *testing.B) {
+			e := newTestEntry(listOf(size.entries, size.services, size.services))
+			for b.Loop() {
+				e.members.rebuild(time.Now(), nil)
+				for i := range size.services {
+					e.members.plan().place(home.Slice{Service: fmt.Sprintf("service-%d", i)})
+				}
+			}
+		})
+	}
+}
--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -60,10 +60,7 @@
 			s.Close()
 		}
 	}()
-	all, err := entrySettings(platform)
-	if err != nil {
-		return err
-	}
+	all := entrySettings(platform)
 	var entries []instances.Entry
 	for i := range all {
 		entries = append(entries, standin.ListedEntry(&all[i]))
@@ -102,16 +99,12 @@
 	return servers, listed
 }
 
-func entrySettings(platform *standin.Platform) ([]settings.Settings, error) {
+func entrySettings(platform *standin.Platform) []settings.Settings {
 	var all []settings.Settings
 	for i := range entryCount {
-		s, err := standin.EntrySettings(platform, i, 3)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, s)
+		all = append(all, standin.EntrySettings(platform, i, 3))
 	}
-	return all, nil
+	return all
 }
 
 func publish(ctx context.Context, platform *standin.Platform) error {
--- a/testing/scenario/commands_test.go
+++ b/testing/scenario/commands_test.go
@@ -331,7 +331,7 @@
 		_ = response.Body.Close()
 		own := response.Header.Get(backend.OutcomeHeader)
 		wrong := own == "" && response.StatusCode == http.StatusOK && !strings.Contains(string(body), " "+id+"\n")
-		result := fmt.Sprintf("%d%s", response.StatusCode, strings.TrimSuffix("-"+own, "-"))
+		result := strings.TrimRight(fmt.Sprintf("%d-%s-%s", response.StatusCode, own, response.Header.Get(backend.ReasonHeader)), "-")
 		if readErr != nil {
 			result = "broken"
 		}
--- a/testing/scenario/world_test.go
+++ b/testing/scenario/world_test.go
@@ -77,10 +77,7 @@
 // startEntries adds entry instances over failure domains and starts their processes.
 func (w *world) startEntries(count, domains int) error {
 	for range count {
-		s, err := standin.EntrySettings(w.platform, len(w.entries), domains)
-		if err != nil {
-			return err
-		}
+		s := standin.EntrySettings(w.platform, len(w.entries), domains)
 		w.entries = append(w.entries, &process{settings: s, listed: true})
 	}
 	w.publishList()
--- a/testing/standin/fleet.go
+++ b/testing/standin/fleet.go
@@ -4,10 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
+	"sync/atomic"
 	"time"
 
 	caller "github.com/sequoiaspan/sequoiaspan/adapters/caller/http"
@@ -16,30 +17,28 @@
 	"github.com/sequoiaspan/sequoiaspan/settings"
 )
 
-// FreeAddress returns a loopback address that was free a moment ago.
-func FreeAddress() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
+// firstPort is below the range from which the system picks ports of outgoing connections.
+const firstPort = 10_000
+
+var ports atomic.Uint32
+
+// FreeAddress returns a loopback address that no other call of any process of this machine returns.
+//
+// Each process has an IP number of its own within 127.0.0.0/8, so that tests which run at once do not meet.
+func FreeAddress() netip.AddrPort {
+	pid := uint32(os.Getpid())
+	host := netip.AddrFrom4([4]byte{127, byte(1 + pid>>16&0x7f), byte(pid >> 8), byte(pid)})
+	return netip.AddrPortFrom(host, uint16(firstPort+ports.Add(1)))
 }
 
 // EntrySettings returns the settings of the n-th entry instance before a platform.
-func EntrySettings(platform *Platform, n, domains int) (settings.Settings, error) {
+func EntrySettings(platform *Platform, n, domains int) settings.Settings {
 	s := settings.Defaults()
 	s.Name = fmt.Sprintf("entry-%d", n)
 	s.Domain = fmt.Sprintf("domain-%d", n%domains)
 	s.Store, s.Instances = platform.Address(), platform.Address()
-	for _, address := range []*netip.AddrPort{&s.Caller, &s.Peer, &s.Operator} {
-		free, err := FreeAddress()
-		if err != nil {
-			return s, err
-		}
-		*address = free
-	}
-	return s, nil
+	s.Caller, s.Peer, s.Operator = FreeAddress(), FreeAddress(), FreeAddress()
+	return s
 }
 
 // ListedEntry returns an entry instance as the list shows it.
