--- a/adapters/caller/http/body.go
+++ b/adapters/caller/http/body.go
@@ -35,6 +35,8 @@
 	stream := &bodyStream{body: r.Body, control: http.NewResponseController(w)}
 	if r.ContentLength < 0 || r.ContentLength > readAheadBytes || r.Header.Get("Expect") != "" {
 		b.stream = stream
+		// Without it the server would read the rest of the body away once the answer begins.
+		_ = stream.control.EnableFullDuplex()
 		return b, nil
 	}
 	b.small = make([]byte, r.ContentLength)
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -41,6 +41,10 @@
 	announceTrailers(x.w.Header(), response)
 	x.w.WriteHeader(response.StatusCode)
 	download := &download{exchange: x, attempt: a, flushAlways: response.ContentLength < 0}
+	if download.flushAlways {
+		// The caller may wait for the header before it goes on; a failure shows at the first write.
+		_ = http.NewResponseController(x.w).Flush()
+	}
 	err := download.run()
 	if err != nil {
 		x.handler.Log.Info("caller: an answer was broken off", zap.String("backend-server", a.grant.Server), zap.Error(err))
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
 )
 
@@ -101,42 +104,54 @@
 	}
 }
 
-// pullRules fetches newer versions from the peers that named them. While no version is known it asks any peer.
+// pullRules fetches newer versions from peers, for an instance that the store does not reach.
+//
+// It compares versions with a neighbour at every interval, and pulls from a peer that is ahead once the store has
+// had its time. While no version is known it pulls at once.
 func (entry *Entry) pullRules(ctx context.Context) {
 	ticker := time.NewTicker(entry.Intervals.Retry)
 	defer ticker.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
 		case peer := <-entry.rules.wanted:
-			entry.pullFrom(ctx, peer)
-		case <-ticker.C:
-			if entry.rules.load().version == 0 {
-				entry.pullFromSome(ctx)
+			if entry.rules.load().version > 0 {
+				sleep(ctx, entry.Intervals.Retry)
 			}
+			entry.pullFrom(ctx, peer, entry.rules.load().version)
+		case <-ticker.C:
+			entry.compareVersions(ctx, turn)
 		}
 	}
 }
 
-// firstPeers is how many peers an instance without rules asks in one round.
-const firstPeers = 3
+// neighbours is how many peers an instance compares versions with in turn.
+const neighbours = 3
 
-func (entry *Entry) pullFromSome(ctx context.Context) {
-	asked := 0
-	for _, other := range entry.members.plan().candidates {
-		if other.Entry.Name == entry.Name || asked == firstPeers {
-			continue
-		}
-		asked++
-		entry.pullFrom(ctx, Peer{other.Entry.Name, other.Entry.Peer})
+// compareVersions exchanges a message with a neighbour; the versions that come with its reply tell who is ahead.
+func (entry *Entry) compareVersions(ctx context.Context, turn int) {
+	candidates := entry.members.plan().candidates
+	own := slices.IndexFunc(candidates, func(c home.Candidate) bool { return c.Entry.Name == entry.Name })
+	if len(candidates) == 0 || own >= 0 && len(candidates) == 1 {
+		return
+	}
+	next := candidates[(own+1+turn%min(neighbours, len(candidates)))%len(candidates)].Entry
+	if next.Name == entry.Name {
+		return
+	}
+	have := uint64(math.MaxUint64)
+	if entry.rules.load().version == 0 {
+		have = 0
 	}
+	entry.pullFrom(ctx, Peer{next.Name, next.Peer}, have)
 }
 
-func (entry *Entry) pullFrom(ctx context.Context, peer Peer) {
+// pullFrom asks a peer for rules newer than a version.
+func (entry *Entry) pullFrom(ctx context.Context, peer Peer, have uint64) {
 	ctx, cancel := context.WithTimeout(ctx, entry.Intervals.Retry)
 	defer cancel()
-	version, text, err := entry.Peers.PullRules(ctx, peer, entry.rules.load().version)
+	version, text, err := entry.Peers.PullRules(ctx, peer, have)
 	if err != nil || version == 0 {
 		return
 	}
--- a/testing/scenario/relay_test.go
+++ b/testing/scenario/relay_test.go
@@ -144,7 +144,8 @@
 	w.publishList()
 }
 
-// cmdCut cuts what reaches an entry instance from others, what it answers them, both or none: cut in|out|both|none INSTANCE.
+// cmdCut cuts what reaches a relay's target, what it answers, both or none: cut in|out|both|none NAME. Each instance's
+// way to the store has a relay of the instance's name and -store.
 func cmdCut(ts *testscript.TestScript, _ bool, args []string) {
 	r := worldOf(ts).relays[args[1]]
 	if r == nil {
--- a/testing/scenario/world_test.go
+++ b/testing/scenario/world_test.go
@@ -78,6 +78,12 @@
 func (w *world) startEntries(count, domains int) error {
 	for range count {
 		s := standin.EntrySettings(w.platform, len(w.entries), domains)
+		store, err := newRelay(w.platform.Address())
+		if err != nil {
+			return err
+		}
+		w.relays[s.Name+"-store"] = store
+		s.Store = store.address()
 		w.entries = append(w.entries, &process{settings: s, listed: true})
 	}
 	w.publishList()
