--- a/adapters/store/http/http.go
+++ b/adapters/store/http/http.go
@@ -42,6 +42,14 @@
 	return value, revision, err
 }
 
+// GetNewer returns a key's value if its revision differs from the given one; it does not wait.
+func (store *Store) GetNewer(ctx context.Context, key string, revision uint64) ([]byte, uint64, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	query := url.Values{"after": {strconv.FormatUint(revision, 10)}, "wait": {"0"}}
+	return store.get(ctx, "get", key, query)
+}
+
 // Watch returns once the key's revision differs from the given one.
 func (store *Store) Watch(ctx context.Context, key string, revision uint64) ([]byte, uint64, error) {
 	for {
--- a/core/idempotency/keeper.go
+++ b/core/idempotency/keeper.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// Revision returns the store's revision of the newest table.
+func (keeper *Keeper) Revision() uint64 { return keeper.revision }
+
 // ListRead takes in a reading of the instance list. Where the list says how old it is, being in it is a sight.
 func (keeper *Keeper) ListRead(listing Listing) {
 	table := keeper.Table()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,8 @@
 // Store is the platform's configuration store. Revision 0 stands for an absent key.
 type Store interface {
 	Get(ctx context.Context, key string) (value []byte, revision uint64, err error)
+	// GetNewer returns the value only if the key's revision differs from the given one.
+	GetNewer(ctx context.Context, key string, revision uint64) (value []byte, newRevision uint64, changed bool, err error)
 	// Watch returns once the key's revision differs from the given one, or the store's patience ends.
 	Watch(ctx context.Context, key string, revision uint64) (value []byte, newRevision uint64, err error)
 	CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte) (newRevision uint64, err error)
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -190,16 +190,29 @@
 	ctx, cancel := context.WithTimeout(ctx, tableDeadline)
 	defer cancel()
 	asked := entry.Clock()
-	value, revision, err := entry.Store.Get(ctx, TableKey)
-	if err == nil {
-		var table *idempotency.Table
-		if table, err = decodeTable(value); err == nil {
-			entry.tableRead(asked, table, revision)
-			return
-		}
+	table, revision, err := entry.newestTable(ctx)
+	if err != nil {
+		entry.count("keys.table-errors")
+		entry.Log.Warn("keys: the table could not be read, the known one stays", zap.Error(err))
+		return
+	}
+	entry.tableRead(asked, table, revision)
+}
+
+// newestTable reads the table if it has changed; otherwise it returns the known one.
+func (entry *Entry) newestTable(ctx context.Context) (*idempotency.Table, uint64, error) {
+	entry.keys.mu.Lock()
+	known, revision := entry.keys.keeper.Table(), entry.keys.keeper.Revision()
+	entry.keys.mu.Unlock()
+	value, newRevision, changed, err := entry.Store.GetNewer(ctx, TableKey, revision)
+	if err != nil {
+		return nil, 0, err
+	}
+	if !changed && known != nil {
+		return known, revision, nil
 	}
-	entry.count("keys.table-errors")
-	entry.Log.Warn("keys: the table could not be read, the known one stays", zap.Error(err))
+	table, err := decodeTable(value)
+	return table, newRevision, err
 }
 
 func (entry *Entry) tableRead(asked time.Time, table *idempotency.Table, revision uint64) {
--- a/settings/check.go
+++ b/settings/check.go
@@ -4,17 +4,20 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 )
 
 // Bounds of values.
 const (
-	maxNameBytes     = 64
-	leastHeaderBytes = 4 << 10
-	mostHeaderBytes  = 1 << 20
-	mostConnections  = 1 << 20
-	leastInterval    = 10 * time.Millisecond
-	mostInterval     = 10 * time.Second
-	mostHeaderTime   = 10 * time.Minute
+	maxNameBytes      = 64
+	leastHeaderBytes  = 4 << 10
+	mostHeaderBytes   = 1 << 20
+	mostConnections   = 1 << 20
+	leastInterval     = 10 * time.Millisecond
+	mostInterval      = 10 * time.Second
+	mostTableInterval = idempotency.SightLength / 2 // an owner serves for so long after a reading, twice over
+	mostHeaderTime    = 10 * time.Minute
 )
 
 // checker collects faults.
@@ -105,7 +108,7 @@
 	c.between("header-time", limits.HeaderTime, leastInterval, mostHeaderTime)
 	c.between("idle-time", limits.IdleTime, leastInterval, mostHeaderTime)
 	c.between("instance-list", settings.Intervals.InstanceList, leastInterval, mostInterval)
-	c.between("key-table", settings.Intervals.KeyTable, leastInterval, mostInterval)
+	c.between("key-table", settings.Intervals.KeyTable, leastInterval, mostTableInterval)
 	c.between("peer-silence", settings.Intervals.PeerSilence, leastInterval, mostInterval)
 }
 
--- a/testing/standin/platform.go
+++ b/testing/standin/platform.go
@@ -129,9 +129,13 @@
 func (platform *Platform) get(w http.ResponseWriter, r *http.Request, key string) {
 	query := r.URL.Query()
 	if query.Has("after") {
-		platform.count("watch")
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("wait"))
+		if wait == 0 {
+			platform.count("get")
+		} else {
+			platform.count("watch")
+		}
 		if !platform.await(r, key, after, time.Duration(wait)*time.Second) {
 			w.WriteHeader(http.StatusNotModified)
 			return
