Settle a claim before its answer goes out, and split the large files

Change: the first try of a settlement is waited for (one round trip, bounded by the silence of a peer); further tries stay in the background.

Conclusion: a repeat after an answer is told ran.

--- a/adapters/peer/yamux/convert.go
+++ b/adapters/peer/yamux/convert.go
@@ -4,11 +4,11 @@
 	"net/netip"
 	"time"
 
-	"github.com/sequoiaspan/sequoiaspan/adapters/peer/wire"
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
 // until returns the time left to a deadline in nanoseconds, 0 for none.
--- a/adapters/peer/yamux/server.go
+++ b/adapters/peer/yamux/server.go
@@ -12,11 +12,11 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
-	"github.com/sequoiaspan/sequoiaspan/adapters/peer/wire"
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
 // Handler takes in the messages of other entry instances.
--- a/adapters/peer/yamux/yamux.go
+++ b/adapters/peer/yamux/yamux.go
@@ -14,7 +14,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protodelim"
 
-	"github.com/sequoiaspan/sequoiaspan/adapters/peer/wire"
+	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
 // Limits of sessions.
--- a/adapters/peer/yamux/yamux_test.go
+++ b/adapters/peer/yamux/yamux_test.go
@@ -20,11 +20,11 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"pgregory.net/rapid"
 
-	"github.com/sequoiaspan/sequoiaspan/adapters/peer/wire"
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
 // grantAll grants every ask.
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -17,9 +17,9 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/sequoiaspan/sequoiaspan/adapters/peer/wire"
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
 // Keys in the store.
--- /dev/null
+++ b/core/pool/simulation_test.go
@@ -0,0 +1,367 @@
+package pool_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+	"github.com/sequoiaspan/sequoiaspan/core/retry"
+	"github.com/sequoiaspan/sequoiaspan/core/rules"
+)
+
+// Sizes and times of both deployments.
+const (
+	benchEntries  = 48
+	benchDomains  = 3
+	benchHop      = 500 * time.Microsecond // between failure domains
+	benchWork     = 20 * time.Millisecond  // median time of a request
+	benchDeadline = 5 * time.Second
+	benchTick     = 50 * time.Millisecond
+	tryTimeout    = time.Second // of the baselines' attempts
+)
+
+var benchStart = time.Unix(1_800_000_000, 0)
+
+// fault is a gray failure of one server; it changes how a request ends there.
+type fault uint8
+
+const (
+	noFault    fault = iota
+	stall            // answers probes, stalls all real work
+	halfStall        // stalls three requests in ten
+	refuse           // refuses connections
+	slow             // takes twenty times as long
+	flap             // stalls in every other five seconds
+	cutDomain        // unreachable from one failure domain, healthy for the others
+	slowDomain       // slow for one failure domain, healthy for the others
+)
+
+var faultNames = map[fault]string{
+	stall: "stall", halfStall: "stall 3 in 10", refuse: "refuse", slow: "slow x20", flap: "flap 5s",
+	cutDomain: "cut from 1 domain", slowDomain: "slow for 1 domain",
+}
+
+// policy is what is measured.
+type policy interface {
+	ask(now time.Time, ask pool.Ask, then func(pool.Decision))
+	report(now time.Time, report pool.Report)
+	tick(now time.Time, probe func(server string) bool)
+	ejected(server string) bool // for at least half of the entry instances
+	hedges() bool
+}
+
+// bench is a small discrete-event run of one service's pool.
+type bench struct {
+	random   *rand.Rand
+	now      time.Time
+	events   eventQueue
+	policy   policy
+	servers  []*benchServer
+	slots    int
+	noise    float64 // share of requests that fail by themselves
+	tail     float64 // share of requests that take ten times as long
+	slowness float64 // factor on all requests
+	attempts uint64
+
+	answered, late, failed int
+	sick                   string
+	sickWork               int // requests sent to the sick server
+	detectedAt             time.Time
+	ejections              int
+	wasEjected             map[string]bool
+	ejectedAt              []time.Duration
+	lostHow                []string
+	byTeam                 map[string]int // answers
+}
+
+type benchServer struct {
+	name   string
+	domain int
+	active int
+	fault  fault
+}
+
+type timedEvent struct {
+	at  time.Time
+	seq int
+	f   func()
+}
+
+type eventQueue struct {
+	events []timedEvent
+	seq    int
+}
+
+func (q *eventQueue) Len() int { return len(q.events) }
+func (q *eventQueue) Less(i, j int) bool {
+	a, b := q.events[i], q.events[j]
+	return a.at.Before(b.at) || a.at.Equal(b.at) && a.seq < b.seq
+}
+func (q *eventQueue) Swap(i, j int) { q.events[i], q.events[j] = q.events[j], q.events[i] }
+func (q *eventQueue) Push(x any)    { q.events = append(q.events, x.(timedEvent)) }
+func (q *eventQueue) Pop() any {
+	last := q.events[len(q.events)-1]
+	q.events = q.events[:len(q.events)-1]
+	return last
+}
+
+func newBench(seed uint64, servers, slots int, make func(*bench) policy) *bench {
+	b := &bench{
+		random: rand.New(rand.NewPCG(seed, 1)), now: benchStart, slots: slots, noise: 0.001, tail: 0.005, slowness: 1,
+		wasEjected: map[string]bool{}, byTeam: map[string]int{},
+	}
+	for i := range servers {
+		b.servers = append(b.servers, &benchServer{name: fmt.Sprintf("s%d", i), domain: i % benchDomains})
+	}
+	b.policy = make(b)
+	b.every(benchTick, func() {
+		b.policy.tick(b.now, func(name string) bool { return b.server(name).fault != refuse })
+		b.observe()
+	})
+	return b
+}
+
+func (b *bench) server(name string) *benchServer {
+	return b.servers[slices.IndexFunc(b.servers, func(s *benchServer) bool { return s.name == name })]
+}
+
+func (b *bench) after(d time.Duration, f func()) {
+	b.events.seq++
+	heap.Push(&b.events, timedEvent{b.now.Add(d), b.events.seq, f})
+}
+
+func (b *bench) every(d time.Duration, f func()) {
+	b.after(d, func() { f(); b.every(d, f) })
+}
+
+// observe counts ejections.
+func (b *bench) observe() {
+	for _, s := range b.servers {
+		out := b.policy.ejected(s.name)
+		if out && !b.wasEjected[s.name] {
+			b.ejections++
+			b.ejectedAt = append(b.ejectedAt, b.now.Sub(benchStart).Round(time.Second))
+			if s.name == b.sick && b.detectedAt.IsZero() {
+				b.detectedAt = b.now
+			}
+		}
+		b.wasEjected[s.name] = out
+	}
+}
+
+func (b *bench) run(d time.Duration) {
+	until := b.now.Add(d)
+	for len(b.events.events) > 0 && b.events.events[0].at.Before(until) {
+		e := heap.Pop(&b.events).(timedEvent)
+		b.now = e.at
+		e.f()
+	}
+	b.now = until
+}
+
+// arrivals sends requests at a rate per second until the time has passed.
+func (b *bench) arrivals(rate float64, d time.Duration) { b.teamArrivals("", rate, d) }
+
+func (b *bench) teamArrivals(team string, rate float64, d time.Duration) {
+	until := b.now.Add(d)
+	var next func()
+	next = func() {
+		if !b.now.Before(until) {
+			return
+		}
+		b.request(team)
+		b.after(time.Duration(b.random.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	next()
+}
+
+// benchRequest is one idempotent request of a caller.
+type benchRequest struct {
+	bench    *bench
+	team     string
+	entry    int
+	state    retry.Request
+	deadline time.Time
+	done     bool
+}
+
+func (b *bench) request(team string) {
+	r := &benchRequest{bench: b, team: team, entry: b.random.IntN(benchEntries), deadline: b.now.Add(benchDeadline)}
+	r.state = retry.Request{Idempotent: true, Attempts: rules.DefaultAttempts, Deadline: r.deadline}
+	r.do(r.state.Start(b.now))
+	b.after(benchDeadline, func() {
+		if !r.done {
+			r.done = true
+			b.late++
+			b.lostHow = append(b.lostHow, fmt.Sprintf("%s late after %d attempts", b.now.Sub(benchStart).Round(time.Millisecond), r.state.Number()))
+		}
+	})
+}
+
+func (r *benchRequest) do(action retry.Action) {
+	b := r.bench
+	switch action.Step {
+	case retry.Wait:
+		if !action.At.IsZero() {
+			b.after(action.At.Sub(b.now), func() {
+				if !r.done {
+					r.do(r.state.Overdue(b.now, true))
+				}
+			})
+		}
+	case retry.Finish:
+		if !r.done {
+			r.done = true
+			b.failed++
+			b.lostHow = append(b.lostHow, fmt.Sprintf("%s %s after %d attempts", b.now.Sub(benchStart).Round(time.Millisecond), action.Answer.Reason, r.state.Number()))
+		}
+	case retry.Ask:
+		b.attempts++
+		ask := pool.Ask{
+			Attempt: b.attempts, Entry: fmt.Sprintf("e%d", r.entry), Domain: fmt.Sprintf("d%d", r.entry%benchDomains),
+			Team: r.team, Idempotent: true, Hedge: action.Hedge, Number: r.state.Number(), Exclude: slices.Clone(r.state.Tried()), Deadline: r.deadline,
+		}
+		b.after(action.At.Sub(b.now)+2*benchHop, func() {
+			if r.done {
+				return
+			}
+			b.policy.ask(b.now, ask, func(d pool.Decision) { r.decided(ask, d) })
+		})
+	}
+}
+
+func (r *benchRequest) decided(ask pool.Ask, d pool.Decision) {
+	b := r.bench
+	report := pool.Report{Attempt: ask.Attempt, Server: d.Server, Entry: ask.Entry, Domain: ask.Domain}
+	switch {
+	case d.Verdict == pool.Queued:
+		return
+	case d.Verdict != pool.Granted:
+		if !r.done {
+			r.do(r.state.Refused(d.Verdict, d.RetryAt))
+		}
+		return
+	case r.done:
+		report.Outcome = pool.Unused
+		b.policy.report(b.now, report)
+		return
+	}
+	r.state.Granted(d.Server)
+	r.send(report, d)
+}
+
+// send runs an attempt at a server.
+func (r *benchRequest) send(report pool.Report, d pool.Decision) {
+	b := r.bench
+	s := b.server(d.Server)
+	if s.name == b.sick {
+		b.sickWork++
+	}
+	started, open := b.now, true
+	s.active++
+	end := func(outcome pool.Outcome) {
+		open = false
+		s.active--
+		report.Outcome = outcome
+		if outcome == pool.Answered {
+			report.FirstByte = b.now.Sub(started)
+		}
+		b.policy.report(b.now, report)
+	}
+	outcome, length := b.fate(s, r.entry%benchDomains)
+	if length > 0 {
+		b.after(length, func() {
+			if !open {
+				return
+			}
+			end(outcome)
+			if outcome == pool.Answered {
+				if !r.done {
+					r.done = true
+					b.answered++
+					b.byTeam[r.team]++
+				}
+				return
+			}
+			if !r.done {
+				r.do(r.state.Failed(b.now, retry.Failure{Wrote: true, Replayable: true}, b.random))
+			}
+		})
+	}
+	r.watch(report, d, &open, end)
+}
+
+// watch ends an attempt that is no longer wanted, and hedges or times out a slow one.
+func (r *benchRequest) watch(report pool.Report, d pool.Decision, open *bool, end func(pool.Outcome)) {
+	b := r.bench
+	if b.policy.hedges() {
+		b.after(d.SuspectAt.Sub(b.now), func() {
+			if !*open || r.done {
+				return
+			}
+			overdue := report
+			overdue.Overdue = true
+			b.policy.report(b.now, overdue)
+			r.do(r.state.Overdue(b.now, true))
+		})
+	} else {
+		b.after(tryTimeout, func() {
+			if *open && !r.done {
+				end(pool.TimedOut)
+				r.do(r.state.Failed(b.now, retry.Failure{Wrote: true, Replayable: true}, b.random))
+			}
+		})
+	}
+	var poll func()
+	poll = func() {
+		if !*open {
+			return
+		}
+		if r.done {
+			end(pool.Canceled)
+			return
+		}
+		b.after(10*time.Millisecond, poll)
+	}
+	b.after(10*time.Millisecond, poll)
+}
+
+// fate decides how an attempt ends; no length means that it stalls.
+func (b *bench) fate(s *benchServer, domain int) (pool.Outcome, time.Duration) {
+	work := time.Duration(float64(benchWork) * b.slowness * math.Exp(0.4*b.random.NormFloat64()))
+	if b.random.Float64() < b.tail {
+		work *= 10
+	}
+	stalled := false
+	switch s.fault {
+	case stall:
+		stalled = true
+	case halfStall:
+		stalled = b.random.Float64() < 0.3
+	case refuse:
+		return pool.ConnectFailed, benchHop
+	case slow:
+		work *= 20
+	case flap:
+		stalled = int(b.now.Sub(benchStart)/(5*time.Second))%2 == 0
+	case cutDomain:
+		stalled = domain == 0
+	case slowDomain:
+		if domain == 0 {
+			work *= 20
+		}
+	}
+	switch {
+	case stalled:
+		return pool.TimedOut, 0
+	case s.active > b.slots:
+		return pool.Shed, benchHop
+	case b.random.Float64() < b.noise:
+		return pool.Reset, work / 2
+	}
+	return pool.Answered, work
+}
--- a/core/rules/options.go
+++ b/core/rules/options.go
@@ -20,7 +20,7 @@
 type options map[string]func(option) bool
 
 // options reads the words after a rule's name.
-func (p *parser) options(words []word, known options) bool {
+func (parser *parser) options(words []word, known options) bool {
 	ok := true
 	seen := map[string]bool{}
 	for _, w := range words[min(2, len(words)):] {
@@ -28,13 +28,13 @@
 		read := known[key]
 		switch {
 		case read == nil:
-			p.fail(KindSyntax, w.column, fmt.Sprintf("unknown option %q", key), "use one of "+strings.Join(slices.Sorted(maps.Keys(known)), ", "))
+			parser.fail(KindSyntax, w.column, fmt.Sprintf("unknown option %q", key), "use one of "+strings.Join(slices.Sorted(maps.Keys(known)), ", "))
 			ok = false
 		case !found || value == "":
-			p.fail(KindSyntax, w.column, fmt.Sprintf("option %s has no value", key), "write "+key+"=VALUE")
+			parser.fail(KindSyntax, w.column, fmt.Sprintf("option %s has no value", key), "write "+key+"=VALUE")
 			ok = false
 		case seen[key]:
-			p.fail(KindDuplicate, w.column, fmt.Sprintf("option %s is given twice", key), "keep one of them")
+			parser.fail(KindDuplicate, w.column, fmt.Sprintf("option %s is given twice", key), "keep one of them")
 			ok = false
 		default:
 			ok = read(option{key, value, w.column + len(key) + 1}) && ok
@@ -44,85 +44,85 @@
 	return ok
 }
 
-func (p *parser) invalid(o option, fix string) bool {
-	p.fail(KindValue, o.column, fmt.Sprintf("%s=%s is not valid", o.key, o.value), fix)
+func (parser *parser) invalid(o option, fix string) bool {
+	parser.fail(KindValue, o.column, fmt.Sprintf("%s=%s is not valid", o.key, o.value), fix)
 	return false
 }
 
-func (p *parser) percent(o option, out *float64) bool {
+func (parser *parser) percent(o option, out *float64) bool {
 	digits, found := strings.CutSuffix(o.value, "%")
 	n, err := strconv.Atoi(digits)
 	if !found || err != nil || n < 0 || n > 100 {
-		return p.invalid(o, "write a whole percentage from 0% to 100%")
+		return parser.invalid(o, "write a whole percentage from 0% to 100%")
 	}
 	*out = float64(n) / 100
 	return true
 }
 
-func (p *parser) count(o option, most int, out *int) bool {
+func (parser *parser) count(o option, most int, out *int) bool {
 	n, err := strconv.Atoi(o.value)
 	if err != nil || n < 1 || n > most {
-		return p.invalid(o, fmt.Sprintf("write a whole number from 1 to %d", most))
+		return parser.invalid(o, fmt.Sprintf("write a whole number from 1 to %d", most))
 	}
 	*out = n
 	return true
 }
 
-func (p *parser) rate(o option, out *float64) bool {
+func (parser *parser) rate(o option, out *float64) bool {
 	number, found := strings.CutSuffix(o.value, "/s")
 	n, err := strconv.ParseFloat(number, 64)
 	if !found || err != nil || !(n > 0 && n <= maxLimit) {
-		return p.invalid(o, "write requests per second, such as 200/s")
+		return parser.invalid(o, "write requests per second, such as 200/s")
 	}
 	*out = n
 	return true
 }
 
-func (p *parser) duration(o option, out *time.Duration) bool {
+func (parser *parser) duration(o option, out *time.Duration) bool {
 	d, err := time.ParseDuration(o.value)
 	if err != nil || d < time.Millisecond || d > maxDeadline {
-		return p.invalid(o, "write a duration from 1ms to 24h, such as 30s")
+		return parser.invalid(o, "write a duration from 1ms to 24h, such as 30s")
 	}
 	*out = d
 	return true
 }
 
-func (p *parser) ejection(o option, out *Ejection) bool {
+func (parser *parser) ejection(o option, out *Ejection) bool {
 	switch o.value {
 	case "cautious":
 		*out = Cautious
 	case "quick":
 		*out = Quick
 	default:
-		return p.invalid(o, "write cautious or quick")
+		return parser.invalid(o, "write cautious or quick")
 	}
 	return true
 }
 
-func (p *parser) repeat(o option, out *Repeat) bool {
+func (parser *parser) repeat(o option, out *Repeat) bool {
 	switch o.value {
 	case "yes":
 		*out = Repeatable
 	case "no":
 		*out = NotRepeatable
 	default:
-		return p.invalid(o, "write yes or no, or leave it out to go by the method")
+		return parser.invalid(o, "write yes or no, or leave it out to go by the method")
 	}
 	return true
 }
 
-func (p *parser) methods(o option, out *[]string) bool {
+func (parser *parser) methods(o option, out *[]string) bool {
 	methods := strings.Split(o.value, ",")
 	for _, m := range methods {
 		if m == "" || strings.ToUpper(m) != m || m == "CONNECT" {
-			return p.invalid(o, "write methods in capitals, such as GET,HEAD; CONNECT is not served")
+			return parser.invalid(o, "write methods in capitals, such as GET,HEAD; CONNECT is not served")
 		}
 	}
 	*out = methods
 	return true
 }
 
-func (p *parser) reference(o option, out *string) bool {
+func (parser *parser) reference(o option, out *string) bool {
 	*out = o.value
-	return p.checkName(word{o.value, o.column})
+	return parser.checkName(word{o.value, o.column})
 }
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -50,19 +50,19 @@
 
 // Parse reads a whole rules file and returns the checked set, or every fault joined, each an *Error.
 func Parse(file, text string) (*Set, error) {
-	p := parser{file: file, set: &Set{
+	parser := parser{file: file, set: &Set{
 		services: map[string]*Service{},
 		routes:   map[string][]*Route{},
 		teams:    map[string]*Team{},
 	}}
 	for i, line := range strings.Split(text, "\n") {
-		p.parseLine(i+1, strings.TrimSuffix(line, "\r"))
+		parser.parseLine(i+1, strings.TrimSuffix(line, "\r"))
 	}
-	p.checkReferences()
-	if len(p.errs) > 0 {
-		return nil, errors.Join(p.errs...)
+	parser.checkReferences()
+	if len(parser.errs) > 0 {
+		return nil, errors.Join(parser.errs...)
 	}
-	return p.set, nil
+	return parser.set, nil
 }
 
 // word is a token of a line with its column.
@@ -78,13 +78,13 @@
 	set  *Set
 }
 
-func (p *parser) fail(kind Kind, column int, reason, fix string) {
-	p.errs = append(p.errs, &Error{Op: "parse", Kind: kind, File: p.file, Line: p.line, Column: column, Reason: reason, Fix: fix})
+func (parser *parser) fail(kind Kind, column int, reason, fix string) {
+	parser.errs = append(parser.errs, &Error{Op: "parse", Kind: kind, File: parser.file, Line: parser.line, Column: column, Reason: reason, Fix: fix})
 }
 
-func (p *parser) parseLine(number int, line string) {
-	p.line = number
-	if !p.checkText(line) {
+func (parser *parser) parseLine(number int, line string) {
+	parser.line = number
+	if !parser.checkText(line) {
 		return
 	}
 	body, comment, found := strings.Cut(line, "#")
@@ -94,32 +94,32 @@
 	}
 	asker := strings.TrimSpace(comment)
 	if !found || asker == "" {
-		p.fail(KindSyntax, utf8.RuneCountInString(line)+1, "the rule does not say who asked for it", "end the line with a comment, such as # asked by: treasury, FG-112")
+		parser.fail(KindSyntax, utf8.RuneCountInString(line)+1, "the rule does not say who asked for it", "end the line with a comment, such as # asked by: treasury, FG-112")
 		return
 	}
 	switch words[0].text {
 	case "service":
-		p.parseService(words, asker)
+		parser.parseService(words, asker)
 	case "route":
-		p.parseRoute(words, asker)
+		parser.parseRoute(words, asker)
 	case "team":
-		p.parseTeam(words, asker)
+		parser.parseTeam(words, asker)
 	default:
-		p.fail(KindSyntax, words[0].column, fmt.Sprintf("unknown rule %q", words[0].text), "begin the line with service, route or team")
+		parser.fail(KindSyntax, words[0].column, fmt.Sprintf("unknown rule %q", words[0].text), "begin the line with service, route or team")
 	}
 }
 
-func (p *parser) checkText(line string) bool {
+func (parser *parser) checkText(line string) bool {
 	if len(line) > MaxLineBytes {
-		p.fail(KindSyntax, 1, fmt.Sprintf("the line has %d bytes", len(line)), fmt.Sprintf("keep it within %d bytes", MaxLineBytes))
+		parser.fail(KindSyntax, 1, fmt.Sprintf("the line has %d bytes", len(line)), fmt.Sprintf("keep it within %d bytes", MaxLineBytes))
 		return false
 	}
 	if !utf8.ValidString(line) {
-		p.fail(KindSyntax, 1, "the line is not valid UTF-8", "save the file as UTF-8")
+		parser.fail(KindSyntax, 1, "the line is not valid UTF-8", "save the file as UTF-8")
 		return false
 	}
 	if i := strings.IndexFunc(line, isControl); i >= 0 {
-		p.fail(KindSyntax, utf8.RuneCountInString(line[:i])+1, "the line has a control character", "remove it")
+		parser.fail(KindSyntax, utf8.RuneCountInString(line[:i])+1, "the line has a control character", "remove it")
 		return false
 	}
 	return true
@@ -147,67 +147,67 @@
 	return words
 }
 
-func (p *parser) parseService(words []word, asker string) {
+func (parser *parser) parseService(words []word, asker string) {
 	service := &Service{
 		Floor: DefaultFloor, Slots: DefaultSlots, Connections: DefaultConnections,
-		Attempts: DefaultAttempts, Stall: DefaultStall, AskedBy: asker, Line: p.line,
+		Attempts: DefaultAttempts, Stall: DefaultStall, AskedBy: asker, Line: parser.line,
 	}
-	name, ok := p.name(words, "service")
+	name, ok := parser.name(words, "service")
 	service.Name = name
-	ok = p.options(words, options{
-		"floor":       func(o option) bool { return p.percent(o, &service.Floor) },
-		"slots":       func(o option) bool { return p.count(o, maxSlots, &service.Slots) },
-		"connections": func(o option) bool { return p.count(o, maxConnections, &service.Connections) },
-		"attempts":    func(o option) bool { return p.count(o, maxAttempts, &service.Attempts) },
-		"ejection":    func(o option) bool { return p.ejection(o, &service.Ejection) },
-		"limit":       func(o option) bool { return p.rate(o, &service.Limit) },
-		"stall":       func(o option) bool { return p.duration(o, &service.Stall) },
+	ok = parser.options(words, options{
+		"floor":       func(o option) bool { return parser.percent(o, &service.Floor) },
+		"slots":       func(o option) bool { return parser.count(o, maxSlots, &service.Slots) },
+		"connections": func(o option) bool { return parser.count(o, maxConnections, &service.Connections) },
+		"attempts":    func(o option) bool { return parser.count(o, maxAttempts, &service.Attempts) },
+		"ejection":    func(o option) bool { return parser.ejection(o, &service.Ejection) },
+		"limit":       func(o option) bool { return parser.rate(o, &service.Limit) },
+		"stall":       func(o option) bool { return parser.duration(o, &service.Stall) },
 	}) && ok
 	if !ok {
 		return
 	}
-	if previous := p.set.services[name]; previous != nil {
-		p.duplicate(words[1].column, "service "+name, previous.Line)
+	if previous := parser.set.services[name]; previous != nil {
+		parser.duplicate(words[1].column, "service "+name, previous.Line)
 		return
 	}
-	p.set.services[name] = service
+	parser.set.services[name] = service
 }
 
-func (p *parser) parseRoute(words []word, asker string) {
-	route := &Route{Deadline: DefaultDeadline, AskedBy: asker, Line: p.line}
-	ok := p.prefix(words, &route.Prefix)
-	ok = p.options(words, options{
-		"service":    func(o option) bool { return p.reference(o, &route.Service) },
-		"methods":    func(o option) bool { return p.methods(o, &route.Methods) },
-		"repeatable": func(o option) bool { return p.repeat(o, &route.Repeat) },
-		"deadline":   func(o option) bool { return p.duration(o, &route.Deadline) },
+func (parser *parser) parseRoute(words []word, asker string) {
+	route := &Route{Deadline: DefaultDeadline, AskedBy: asker, Line: parser.line}
+	ok := parser.prefix(words, &route.Prefix)
+	ok = parser.options(words, options{
+		"service":    func(o option) bool { return parser.reference(o, &route.Service) },
+		"methods":    func(o option) bool { return parser.methods(o, &route.Methods) },
+		"repeatable": func(o option) bool { return parser.repeat(o, &route.Repeat) },
+		"deadline":   func(o option) bool { return parser.duration(o, &route.Deadline) },
 	}) && ok
 	if !ok {
 		return
 	}
 	if route.Service == "" {
-		p.fail(KindSyntax, words[0].column, "the route names no service", "add service=NAME")
+		parser.fail(KindSyntax, words[0].column, "the route names no service", "add service=NAME")
 		return
 	}
-	for _, previous := range p.set.routes[route.Prefix] {
+	for _, previous := range parser.set.routes[route.Prefix] {
 		if overlaps(previous.Methods, route.Methods) {
-			p.duplicate(words[1].column, "route "+words[1].text, previous.Line)
+			parser.duplicate(words[1].column, "route "+words[1].text, previous.Line)
 			return
 		}
 	}
-	p.addRoute(route)
+	parser.addRoute(route)
 }
 
 // addRoute keeps routes with methods before the one for all methods.
-func (p *parser) addRoute(route *Route) {
-	routes := p.set.routes[route.Prefix]
+func (parser *parser) addRoute(route *Route) {
+	routes := parser.set.routes[route.Prefix]
 	if len(route.Methods) > 0 {
 		routes = slices.Insert(routes, 0, route)
 	} else {
 		routes = append(routes, route)
 	}
-	p.set.routes[route.Prefix] = routes
-	p.set.depth = max(p.set.depth, strings.Count(route.Prefix, "/"))
+	parser.set.routes[route.Prefix] = routes
+	parser.set.depth = max(parser.set.depth, strings.Count(route.Prefix, "/"))
 }
 
 func overlaps(a, b []string) bool {
@@ -217,34 +217,34 @@
 	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
 }
 
-func (p *parser) parseTeam(words []word, asker string) {
-	team := &Team{AskedBy: asker, Line: p.line}
-	name, ok := p.name(words, "team")
+func (parser *parser) parseTeam(words []word, asker string) {
+	team := &Team{AskedBy: asker, Line: parser.line}
+	name, ok := parser.name(words, "team")
 	team.Name = name
-	ok = p.options(words, options{
-		"limit": func(o option) bool { return p.rate(o, &team.Limit) },
+	ok = parser.options(words, options{
+		"limit": func(o option) bool { return parser.rate(o, &team.Limit) },
 	}) && ok
 	if !ok {
 		return
 	}
-	if previous := p.set.teams[name]; previous != nil {
-		p.duplicate(words[1].column, "team "+name, previous.Line)
+	if previous := parser.set.teams[name]; previous != nil {
+		parser.duplicate(words[1].column, "team "+name, previous.Line)
 		return
 	}
-	p.set.teams[name] = team
+	parser.set.teams[name] = team
 }
 
-func (p *parser) checkReferences() {
-	for _, routes := range p.set.routes {
+func (parser *parser) checkReferences() {
+	for _, routes := range parser.set.routes {
 		for _, route := range routes {
-			if p.set.services[route.Service] != nil {
+			if parser.set.services[route.Service] != nil {
 				continue
 			}
-			p.line = route.Line
-			p.fail(KindReference, 1, fmt.Sprintf("the route names service %q, which no rule declares", route.Service), "declare it with a line service "+route.Service)
+			parser.line = route.Line
+			parser.fail(KindReference, 1, fmt.Sprintf("the route names service %q, which no rule declares", route.Service), "declare it with a line service "+route.Service)
 		}
 	}
-	slices.SortStableFunc(p.errs, func(a, b error) int { return lineOf(a) - lineOf(b) })
+	slices.SortStableFunc(parser.errs, func(a, b error) int { return lineOf(a) - lineOf(b) })
 }
 
 func lineOf(err error) int {
@@ -255,37 +255,37 @@
 	return math.MaxInt
 }
 
-func (p *parser) duplicate(column int, what string, line int) {
-	p.fail(KindDuplicate, column, fmt.Sprintf("%s is already declared in line %d", what, line), "keep one of the two lines")
+func (parser *parser) duplicate(column int, what string, line int) {
+	parser.fail(KindDuplicate, column, fmt.Sprintf("%s is already declared in line %d", what, line), "keep one of the two lines")
 }
 
-func (p *parser) name(words []word, kind string) (string, bool) {
+func (parser *parser) name(words []word, kind string) (string, bool) {
 	if len(words) < 2 {
-		p.fail(KindSyntax, words[0].column, "the "+kind+" has no name", "write "+kind+" NAME")
+		parser.fail(KindSyntax, words[0].column, "the "+kind+" has no name", "write "+kind+" NAME")
 		return "", false
 	}
-	return words[1].text, p.checkName(words[1])
+	return words[1].text, parser.checkName(words[1])
 }
 
-func (p *parser) checkName(w word) bool {
+func (parser *parser) checkName(w word) bool {
 	valid := len(w.text) > 0 && len(w.text) <= maxNameBytes
 	for _, r := range w.text {
 		valid = valid && (r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-')
 	}
 	if !valid {
-		p.fail(KindValue, w.column, fmt.Sprintf("%q is not a name", w.text), fmt.Sprintf("use up to %d lower-case letters, digits and hyphens", maxNameBytes))
+		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a name", w.text), fmt.Sprintf("use up to %d lower-case letters, digits and hyphens", maxNameBytes))
 	}
 	return valid
 }
 
-func (p *parser) prefix(words []word, out *string) bool {
+func (parser *parser) prefix(words []word, out *string) bool {
 	if len(words) < 2 || !strings.HasPrefix(words[1].text, "/") {
-		p.fail(KindSyntax, words[0].column, "the route has no path", "write route /PATH service=NAME")
+		parser.fail(KindSyntax, words[0].column, "the route has no path", "write route /PATH service=NAME")
 		return false
 	}
 	w := words[1]
 	if cleanPath(w.text) != strings.TrimSuffix(w.text, "/") {
-		p.fail(KindValue, w.column, fmt.Sprintf("%q is not a clean path", w.text), "write "+cleanPath(w.text))
+		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a clean path", w.text), "write "+cleanPath(w.text))
 		return false
 	}
 	*out = strings.TrimSuffix(w.text, "/")
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -9,9 +9,9 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/sequoiaspan/sequoiaspan/adapters/peer/wire"
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
 // TableKey is the key table's key in the platform's store.
@@ -124,31 +124,33 @@
 	return Peer{name, entry.members.plan().byName[name].Peer}
 }
 
-// Settle tells the key's owner what came of a claim, with some tries in the background.
+// Settle tells the key's owner what came of a claim. The first try is waited for, so that a caller who has its answer
+// and repeats the request finds it settled; further tries are made in the background.
 func (entry *Entry) Settle(settlement idempotency.Settlement) {
+	if !entry.settleOnce(settlement) {
+		go entry.settleLater(settlement)
+	}
+}
+
+// settleOnce reports whether the key's owner has taken the settlement.
+func (entry *Entry) settleOnce(settlement idempotency.Settlement) bool {
 	owner, _ := entry.ownerOf(settlement.Key)
-	if owner == entry.Incarnation && entry.keys.settle(settlement) {
-		return
+	if owner == entry.Incarnation {
+		return entry.keys.settle(settlement)
 	}
-	go entry.settleAway(settlement)
+	ctx, cancel := context.WithTimeout(context.Background(), tableDeadline)
+	defer cancel()
+	kept, err := entry.Peers.Settle(ctx, entry.peerNamed(owner.Name()), settlement)
+	return err == nil && kept
 }
 
-func (entry *Entry) settleAway(settlement idempotency.Settlement) {
+func (entry *Entry) settleLater(settlement idempotency.Settlement) {
 	pause := claimPause
 	for range settleTries {
-		ctx, cancel := context.WithTimeout(context.Background(), tableDeadline)
-		owner, _ := entry.ownerOf(settlement.Key)
-		kept, err := false, error(nil)
-		if owner == entry.Incarnation {
-			kept = entry.keys.settle(settlement)
-		} else {
-			kept, err = entry.Peers.Settle(ctx, entry.peerNamed(owner.Name()), settlement)
-		}
-		cancel()
-		if err == nil && kept {
+		sleep(context.Background(), pause)
+		if entry.settleOnce(settlement) {
 			return
 		}
-		time.Sleep(pause)
 		pause *= 4
 	}
 	entry.count("keys.lost-settlements")
