--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -55,20 +55,20 @@
 
 func newExchange(handler *Handler, w http.ResponseWriter, r *http.Request, route *rules.Route, service *rules.Service, deadline time.Time, body *body) *exchange {
 	ctx, cancel := context.WithCancel(r.Context())
-	x := &exchange{
+	exchange := &exchange{
 		handler: handler, w: w, r: r, route: route, service: service, body: body,
 		fingerprint: fingerprint(r, body), events: make(chan event, eventRoom), out: map[uint64]*attempt{},
 		ctx: ctx, cancel: cancel,
 		request: retry.Request{Idempotent: route.Idempotent(r.Method), Attempts: service.Attempts, Deadline: deadline},
 	}
-	x.slice = handler.Entry.SliceFor(route.Service, x.fingerprint)
-	if key := r.Header.Get(backend.KeyHeader); key != "" && !x.request.Idempotent {
-		x.claim = &idempotency.Claim{
+	exchange.slice = handler.Entry.SliceFor(route.Service, exchange.fingerprint)
+	if key := r.Header.Get(backend.KeyHeader); key != "" && !exchange.request.Idempotent {
+		exchange.claim = &idempotency.Claim{
 			Key: claimKey(route.Service, key), Born: idempotency.Born(key), Attempt: handler.nextAttempt(),
-			Digest: x.fingerprint, RunBy: deadline,
+			Digest: exchange.fingerprint, RunBy: deadline,
 		}
 	}
-	return x
+	return exchange
 }
 
 func claimKey(service, key string) idempotency.Key {
@@ -77,52 +77,52 @@
 }
 
 // run brings the exchange to its end.
-func (x *exchange) run() {
-	defer x.end()
-	deadline := time.NewTimer(time.Until(x.request.Deadline))
+func (exchange *exchange) run() {
+	defer exchange.end()
+	deadline := time.NewTimer(time.Until(exchange.request.Deadline))
 	defer deadline.Stop()
-	if x.claim != nil && !x.claimFirst() {
+	if exchange.claim != nil && !exchange.claimFirst() {
 		return
 	}
-	x.do(x.request.Start(x.now()))
+	exchange.do(exchange.request.Start(exchange.now()))
 	for {
 		select {
-		case e := <-x.events:
-			if x.take(e) {
+		case e := <-exchange.events:
+			if exchange.take(e) {
 				return
 			}
 		case <-deadline.C:
-			x.timeOut()
+			exchange.timeOut()
 			return
-		case <-x.r.Context().Done():
-			x.abandon(pool.Canceled)
+		case <-exchange.r.Context().Done():
+			exchange.abandon(pool.Canceled)
 			return
 		}
 	}
 }
 
 // post passes an event to the exchange, or disposes of what it brings when the exchange has ended.
-func (x *exchange) post(e event) {
-	x.endMu.Lock()
-	ended := x.ended
+func (exchange *exchange) post(e event) {
+	exchange.endMu.Lock()
+	ended := exchange.ended
 	if !ended {
-		x.events <- e
+		exchange.events <- e
 	}
-	x.endMu.Unlock()
+	exchange.endMu.Unlock()
 	if ended {
 		e.dispose()
 	}
 }
 
 // end ends the exchange and disposes of the events not taken.
-func (x *exchange) end() {
-	x.cancel()
-	x.endMu.Lock()
-	x.ended = true
-	x.endMu.Unlock()
+func (exchange *exchange) end() {
+	exchange.cancel()
+	exchange.endMu.Lock()
+	exchange.ended = true
+	exchange.endMu.Unlock()
 	for {
 		select {
-		case e := <-x.events:
+		case e := <-exchange.events:
 			e.dispose()
 		default:
 			return
@@ -140,21 +140,21 @@
 	}
 }
 
-func (x *exchange) now() time.Time { return x.handler.Clock() }
+func (exchange *exchange) now() time.Time { return exchange.handler.Clock() }
 
 // claimFirst asks whether the request may run and answers the caller when it may not.
-func (x *exchange) claimFirst() bool {
-	ctx, cancel := context.WithDeadline(x.ctx, x.request.Deadline)
+func (exchange *exchange) claimFirst() bool {
+	ctx, cancel := context.WithDeadline(exchange.ctx, exchange.request.Deadline)
 	defer cancel()
-	verdict := x.handler.Entry.Claim(ctx, *x.claim)
+	verdict := exchange.handler.Entry.Claim(ctx, *exchange.claim)
 	if verdict.Answer == idempotency.Run {
-		x.writeBy = verdict.WriteBy
+		exchange.writeBy = verdict.WriteBy
 		return true
 	}
 	if verdict.Answer == idempotency.NotReady {
-		x.settle(idempotency.Settlement{NotRun: true})
+		exchange.settle(idempotency.Settlement{NotRun: true})
 	}
-	x.handler.answer(x.w, x.r, claimAnswer(verdict))
+	exchange.handler.answer(exchange.w, exchange.r, claimAnswer(verdict))
 	return false
 }
 
@@ -172,85 +172,85 @@
 }
 
 // do carries out an action and reports whether it ended the exchange.
-func (x *exchange) do(action retry.Action) bool {
+func (exchange *exchange) do(action retry.Action) bool {
 	switch action.Step {
 	case retry.Ask:
 		ask := pool.Ask{
-			Attempt: x.handler.nextAttempt(), Team: x.r.Header.Get(backend.TeamHeader), Idempotent: x.request.Idempotent,
-			Hedge: action.Hedge, Number: x.request.Number(), Exclude: append([]string(nil), x.request.Tried()...),
-			Deadline: x.request.Deadline, Fingerprint: x.fingerprint,
+			Attempt: exchange.handler.nextAttempt(), Team: exchange.r.Header.Get(backend.TeamHeader), Idempotent: exchange.request.Idempotent,
+			Hedge: action.Hedge, Number: exchange.request.Number(), Exclude: append([]string(nil), exchange.request.Tried()...),
+			Deadline: exchange.request.Deadline, Fingerprint: exchange.fingerprint,
 		}
-		go x.ask(ask, action.At)
+		go exchange.ask(ask, action.At)
 	case retry.Wait:
 		if !action.At.IsZero() {
-			x.hedgeAt(action.At)
+			exchange.hedgeAt(action.At)
 		}
 	case retry.Finish:
-		x.finish(action.Answer)
+		exchange.finish(action.Answer)
 		return true
 	}
 	return false
 }
 
 // hedgeAt tries a refused hedge again at a time.
-func (x *exchange) hedgeAt(at time.Time) {
-	timer := time.AfterFunc(at.Sub(x.now()), func() { x.post(event{hedge: true}) })
-	context.AfterFunc(x.ctx, func() { timer.Stop() })
+func (exchange *exchange) hedgeAt(at time.Time) {
+	timer := time.AfterFunc(at.Sub(exchange.now()), func() { exchange.post(event{hedge: true}) })
+	context.AfterFunc(exchange.ctx, func() { timer.Stop() })
 }
 
 // ask acquires a grant in the background.
-func (x *exchange) ask(ask pool.Ask, at time.Time) {
-	if pause := at.Sub(x.now()); pause > 0 {
+func (exchange *exchange) ask(ask pool.Ask, at time.Time) {
+	if pause := at.Sub(exchange.now()); pause > 0 {
 		timer := time.NewTimer(pause)
 		defer timer.Stop()
 		select {
 		case <-timer.C:
-		case <-x.ctx.Done():
+		case <-exchange.ctx.Done():
 			return
 		}
 	}
-	grant, decision := x.handler.Entry.Acquire(x.ctx, x.slice, ask)
-	x.post(event{id: ask.Attempt, grant: grant, decision: &decision})
+	grant, decision := exchange.handler.Entry.Acquire(exchange.ctx, exchange.slice, ask)
+	exchange.post(event{id: ask.Attempt, grant: grant, decision: &decision})
 }
 
 // take handles an event and reports whether the exchange has ended.
-func (x *exchange) take(e event) bool {
+func (exchange *exchange) take(e event) bool {
 	switch {
 	case e.decision != nil:
-		return x.decided(e)
+		return exchange.decided(e)
 	case e.hedge:
-		return x.do(x.request.Overdue(x.now(), x.body.replayable()))
+		return exchange.do(exchange.request.Overdue(exchange.now(), exchange.body.replayable()))
 	case e.overdue:
-		return x.suspect(e.attempt)
-	case x.out[e.attempt.id] != e.attempt:
+		return exchange.suspect(e.attempt)
+	case exchange.out[e.attempt.id] != e.attempt:
 		e.dispose()
 		return false
 	case e.err != nil:
-		return x.failed(e.attempt, e.err)
+		return exchange.failed(e.attempt, e.err)
 	}
-	return x.answered(e.attempt, e.response)
+	return exchange.answered(e.attempt, e.response)
 }
 
 // decided follows a grant or a refusal.
-func (x *exchange) decided(e event) bool {
+func (exchange *exchange) decided(e event) bool {
 	if e.grant == nil {
-		return x.do(x.request.Refused(e.decision.Verdict, e.decision.RetryAt))
+		return exchange.do(exchange.request.Refused(e.decision.Verdict, e.decision.RetryAt))
 	}
-	x.request.Granted(e.grant.Server)
-	if x.claim != nil && !x.now().Before(x.writeBy) && !x.claimAgain(e.grant) {
+	exchange.request.Granted(e.grant.Server)
+	if exchange.claim != nil && !exchange.now().Before(exchange.writeBy) && !exchange.claimAgain(e.grant) {
 		return true
 	}
-	if !x.request.Sending(x.now()) {
+	if !exchange.request.Sending(exchange.now()) {
 		e.grant.Done(pool.Report{Outcome: pool.Unused})
-		return x.do(x.request.Failed(x.now(), retry.Failure{}, nil))
+		return exchange.do(exchange.request.Failed(exchange.now(), retry.Failure{}, nil))
 	}
-	x.send(e)
+	exchange.send(e)
 	return false
 }
 
 // claimAgain renews a claim whose deadline to write passed while the request was queued.
-func (x *exchange) claimAgain(grant *entry.Grant) bool {
-	if x.claimFirst() {
+func (exchange *exchange) claimAgain(grant *entry.Grant) bool {
+	if exchange.claimFirst() {
 		return true
 	}
 	grant.Done(pool.Report{Outcome: pool.Unused})
@@ -258,42 +258,42 @@
 }
 
 // timeOut ends the exchange at its deadline.
-func (x *exchange) timeOut() {
+func (exchange *exchange) timeOut() {
 	wrote := false
-	for _, a := range x.out {
+	for _, a := range exchange.out {
 		wrote = wrote || a.progress.Wrote()
 	}
-	x.closeAll(pool.TimedOut)
-	x.finish(x.request.TimedOut(x.now(), wrote).Answer)
+	exchange.closeAll(pool.TimedOut)
+	exchange.finish(exchange.request.TimedOut(exchange.now(), wrote).Answer)
 }
 
 // finish answers the caller, and settles the claim by the same truth.
-func (x *exchange) finish(answer retry.Answer) {
-	x.closeAll(pool.Canceled)
-	x.settle(idempotency.Settlement{NotRun: answer.Truth == retry.NotRun})
-	if x.spare != nil {
-		x.passOn(x.spare)
+func (exchange *exchange) finish(answer retry.Answer) {
+	exchange.closeAll(pool.Canceled)
+	exchange.settle(idempotency.Settlement{NotRun: answer.Truth == retry.NotRun})
+	if exchange.spare != nil {
+		exchange.passOn(exchange.spare)
 		return
 	}
-	x.handler.answer(x.w, x.r, answer)
+	exchange.handler.answer(exchange.w, exchange.r, answer)
 }
 
 // abandon ends the exchange of a caller that has gone.
-func (x *exchange) abandon(outcome pool.Outcome) {
+func (exchange *exchange) abandon(outcome pool.Outcome) {
 	wrote := false
-	for _, a := range x.out {
+	for _, a := range exchange.out {
 		wrote = wrote || a.progress.Wrote()
 	}
-	x.closeAll(outcome)
-	x.dropSpare()
-	action := x.request.TimedOut(x.now(), wrote)
-	x.settle(idempotency.Settlement{NotRun: action.Answer.Truth == retry.NotRun})
+	exchange.closeAll(outcome)
+	exchange.dropSpare()
+	action := exchange.request.TimedOut(exchange.now(), wrote)
+	exchange.settle(idempotency.Settlement{NotRun: action.Answer.Truth == retry.NotRun})
 }
 
-func (x *exchange) settle(settlement idempotency.Settlement) {
-	if x.claim == nil {
+func (exchange *exchange) settle(settlement idempotency.Settlement) {
+	if exchange.claim == nil {
 		return
 	}
-	settlement.Key, settlement.Attempt = x.claim.Key, x.claim.Attempt
-	x.handler.Entry.Settle(settlement)
+	settlement.Key, settlement.Attempt = exchange.claim.Key, exchange.claim.Attempt
+	exchange.handler.Entry.Settle(settlement)
 }
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -34,34 +34,34 @@
 )
 
 // forward passes a backend server's answer on, whole or visibly broken.
-func (x *exchange) forward(a *attempt) {
+func (exchange *exchange) forward(a *attempt) {
 	response := a.response
-	copyHeader(x.w.Header(), response.Header)
-	x.w.Header().Del(backend.StateHeader)
-	announceTrailers(x.w.Header(), response)
-	x.w.WriteHeader(response.StatusCode)
-	download := &download{exchange: x, attempt: a, flushAlways: response.ContentLength < 0}
+	copyHeader(exchange.w.Header(), response.Header)
+	exchange.w.Header().Del(backend.StateHeader)
+	announceTrailers(exchange.w.Header(), response)
+	exchange.w.WriteHeader(response.StatusCode)
+	download := &download{exchange: exchange, attempt: a, flushAlways: response.ContentLength < 0}
 	if download.flushAlways {
 		// The caller may wait for the header before it goes on; a failure shows at the first write.
-		_ = http.NewResponseController(x.w).Flush()
+		_ = http.NewResponseController(exchange.w).Flush()
 	}
 	err := download.run()
 	if err != nil {
-		x.handler.Log.Info("caller: an answer was broken off", zap.String("backend-server", a.grant.Server), zap.Error(err))
+		exchange.handler.Log.Info("caller: an answer was broken off", zap.String("backend-server", a.grant.Server), zap.Error(err))
 		// The connection is cut, so that the caller sees that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
-	copyTrailers(x.w.Header(), download.attempt.response)
+	copyTrailers(exchange.w.Header(), download.attempt.response)
 }
 
 // passOn passes on the refusal of a backend server whose grant has ended.
-func (x *exchange) passOn(a *attempt) {
+func (exchange *exchange) passOn(a *attempt) {
 	defer a.cancel()
 	defer a.response.Body.Close()
-	copyHeader(x.w.Header(), a.response.Header)
-	x.w.Header().Del(backend.StateHeader)
-	x.w.WriteHeader(a.response.StatusCode)
-	download := &download{exchange: x, attempt: a}
+	copyHeader(exchange.w.Header(), a.response.Header)
+	exchange.w.Header().Del(backend.StateHeader)
+	exchange.w.WriteHeader(a.response.StatusCode)
+	download := &download{exchange: exchange, attempt: a}
 	if err := download.copy(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -91,7 +91,7 @@
 
 // run copies the body to its end and reports each attempt's outcome.
 func (download *download) run() error {
-	x := download.exchange
+	exchange := download.exchange
 	first := download.attempt.response
 	for {
 		err := download.copy()
@@ -102,7 +102,7 @@
 		if resumeErr := download.resume(first); resumeErr != nil {
 			return fmt.Errorf("%w; %w", err, resumeErr)
 		}
-		x.handler.Log.Info("caller: an answer goes on from another backend server", zap.String("backend-server", download.attempt.grant.Server), zap.Int64("offset", download.offset))
+		exchange.handler.Log.Info("caller: an answer goes on from another backend server", zap.String("backend-server", download.attempt.grant.Server), zap.Int64("offset", download.offset))
 	}
 }
 
@@ -177,14 +177,14 @@
 
 // resume continues a broken download from another server, if it is one that surely has the same content.
 func (download *download) resume(first *http.Response) error {
-	x := download.exchange
+	exchange := download.exchange
 	etag := first.Header.Get("ETag")
-	resumable := x.r.Method == http.MethodGet && x.request.Idempotent && first.StatusCode == http.StatusOK &&
-		strings.HasPrefix(etag, `"`) && x.r.Header.Get("Range") == "" && x.r.Context().Err() == nil
+	resumable := exchange.r.Method == http.MethodGet && exchange.request.Idempotent && first.StatusCode == http.StatusOK &&
+		strings.HasPrefix(etag, `"`) && exchange.r.Header.Get("Range") == "" && exchange.r.Context().Err() == nil
 	if !resumable {
 		return errNotResumed
 	}
-	for x.request.Number() < x.service.Attempts {
+	for exchange.request.Number() < exchange.service.Attempts {
 		if download.resumeOnce(first, etag) {
 			return nil
 		}
@@ -194,19 +194,19 @@
 
 // resumeOnce tries one more server.
 func (download *download) resumeOnce(first *http.Response, etag string) bool {
-	x := download.exchange
-	now := x.now()
-	action := x.request.Resume(now, now.Add(x.route.Deadline))
+	exchange := download.exchange
+	now := exchange.now()
+	action := exchange.request.Resume(now, now.Add(exchange.route.Deadline))
 	ask := pool.Ask{
-		Attempt: x.handler.nextAttempt(), Team: x.r.Header.Get(backend.TeamHeader), Idempotent: true, Number: x.request.Number(),
-		Exclude: x.request.Tried(), Deadline: action.At, Fingerprint: x.fingerprint,
+		Attempt: exchange.handler.nextAttempt(), Team: exchange.r.Header.Get(backend.TeamHeader), Idempotent: true, Number: exchange.request.Number(),
+		Exclude: exchange.request.Tried(), Deadline: action.At, Fingerprint: exchange.fingerprint,
 	}
-	grant, _ := x.handler.Entry.Acquire(x.ctx, x.slice, ask)
+	grant, _ := exchange.handler.Entry.Acquire(exchange.ctx, exchange.slice, ask)
 	if grant == nil {
 		return false
 	}
-	x.request.Granted(grant.Server)
-	a, err := x.sendRange(grant, ask.Attempt, download.offset, etag, action.At)
+	exchange.request.Granted(grant.Server)
+	a, err := exchange.sendRange(grant, ask.Attempt, download.offset, etag, action.At)
 	if err != nil {
 		grant.Done(pool.Report{Outcome: pool.Reset})
 		return false
@@ -222,20 +222,20 @@
 }
 
 // sendRange asks a server for the rest of the content.
-func (x *exchange) sendRange(grant *entry.Grant, id uint64, offset int64, etag string, deadline time.Time) (*attempt, error) {
-	ctx, cancel := context.WithCancel(x.ctx)
-	a := &attempt{id: id, grant: grant, cancel: cancel, sentAt: x.now()}
-	timer := time.AfterFunc(deadline.Sub(x.now()), cancel)
+func (exchange *exchange) sendRange(grant *entry.Grant, id uint64, offset int64, etag string, deadline time.Time) (*attempt, error) {
+	ctx, cancel := context.WithCancel(exchange.ctx)
+	a := &attempt{id: id, grant: grant, cancel: cancel, sentAt: exchange.now()}
+	timer := time.AfterFunc(deadline.Sub(exchange.now()), cancel)
 	defer timer.Stop()
-	out := x.outgoing(ctx)
+	out := exchange.outgoing(ctx)
 	out.Header.Set("Range", "bytes="+strconv.FormatInt(offset, 10)+"-")
 	out.Header.Set("If-Range", etag)
-	response, err := x.handler.Backend.Send(out, backend.Options{Address: grant.Address, Fresh: true}, &a.progress)
+	response, err := exchange.handler.Backend.Send(out, backend.Options{Address: grant.Address, Fresh: true}, &a.progress)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	a.response, a.firstByte = response, x.now().Sub(a.sentAt)
+	a.response, a.firstByte = response, exchange.now().Sub(a.sentAt)
 	return a, nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -175,7 +175,7 @@
 	entry.Init()
 	var group sync.WaitGroup
 	for _, part := range []func(context.Context){
-		entry.followInstances, entry.followRules, entry.followTable,
+		entry.followInstances, entry.followRules, entry.pullRules, entry.followTable,
 		entry.tickHomes, entry.renewGrants, entry.tickKeys,
 	} {
 		group.Go(func() { part(ctx) })
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -49,24 +49,17 @@
 	return grant.acquireHere(ctx, &entry.alone)
 }
 
-// deciders returns a slice's home and deputy; one that was silent lately comes last.
+// deciders returns a slice's home and deputy, without those that were silent lately: asking them again each time would
+// cost every request its patience with them.
 func (entry *Entry) deciders(slice home.Slice) []instance.Entry {
 	at := entry.members.plan().place(slice)
 	out := make([]instance.Entry, 0, 2)
-	var silent []instance.Entry
 	for _, candidate := range []instance.Entry{at.home, at.deputy} {
-		switch {
-		case candidate.Name == "":
-		case candidate.Name == entry.Name || entry.Peers.Reachable(candidate.Name):
+		if candidate.Name != "" && (candidate.Name == entry.Name || entry.Peers.Reachable(candidate.Name)) {
 			out = append(out, candidate)
-		default:
-			silent = append(silent, candidate)
 		}
 	}
-	if len(out) > 0 {
-		return out
-	}
-	return silent
+	return out
 }
 
 // askPeer asks another instance, after telling it of outstanding grants when it is new as this slice's home.
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -83,15 +83,15 @@
 	decision pool.Decision
 }
 
-func (sp *slicePool) deliveries() []delivery {
+func (slicePool *slicePool) deliveries() []delivery {
 	var out []delivery
 	for {
-		decision, found := sp.pool.Next()
+		decision, found := slicePool.pool.Next()
 		if !found {
 			return out
 		}
-		if to := sp.waiting[decision.Attempt]; to != nil {
-			delete(sp.waiting, decision.Attempt)
+		if to := slicePool.waiting[decision.Attempt]; to != nil {
+			delete(slicePool.waiting, decision.Attempt)
 			out = append(out, delivery{to, decision})
 		}
 	}
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -141,3 +141,18 @@
 		})
 	}
 }
+
+// silentPeers stands in for peers none of which was reachable lately.
+type silentPeers struct{ Peers }
+
+func (silentPeers) Reachable(string) bool { return false }
+
+func TestSilentHomesAreNotAskedEachTime(t *testing.T) {
+	e := newTestEntry(listOf(9, 4, 1))
+	slice := e.SliceFor("service-0", 1)
+	must.SliceLen(t, 2, e.deciders(slice))
+	e.Peers = silentPeers{}
+	for _, decider := range e.deciders(slice) {
+		must.Eq(t, e.Name, decider.Name)
+	}
+}
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -87,9 +87,8 @@
 	entry.Log.Info("rules: a version is in force", zap.Uint64("version", version), zap.Int("rules", set.Len()))
 }
 
-// followRules learns versions from the store and from peers until the context ends.
+// followRules learns versions from the store until the context ends.
 func (entry *Entry) followRules(ctx context.Context) {
-	go entry.pullRules(ctx)
 	for ctx.Err() == nil {
 		version, text, err := entry.Rulebook.Next(ctx)
 		if err == nil {
