Wait for a cancelled attempt's word before telling that nothing was run

Cause: found by reading: at the deadline, and when a caller went away, whether a byte may have left was asked before the attempt was cancelled. A connection that came in between would carry the request, while the caller was told not-run and its idempotency key was freed: it could run twice.

Change: attempts are cancelled first, and their word counts once they have returned; one that does not return within a second counts as written.

Conclusion: the promise holds at the deadline too. The fuzzer had not found it, as the entry's flow around net/http is not in its model.

--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -76,7 +76,8 @@
 	return progress.sentAt
 }
 
-func (progress *Progress) connected(reused bool) {
+// Connected records that a connection is at hand: from here on a byte may leave.
+func (progress *Progress) Connected(reused bool) {
 	progress.mu.Lock()
 	defer progress.mu.Unlock()
 	progress.wrote, progress.reused, progress.sentAt = true, reused, time.Now()
@@ -111,7 +112,7 @@
 // The transport's own retries are kept off: a request is written to one connection only.
 func (backend *Backend) Send(request *http.Request, options Options, progress *Progress) (*http.Response, error) {
 	backend.once.Do(backend.init)
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { progress.connected(info.Reused) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { progress.Connected(info.Reused) }}
 	out := request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	out.URL = &url.URL{Scheme: "http", Host: options.Address.String(), Opaque: request.URL.Opaque,
 		Path: request.URL.Path, RawPath: request.URL.RawPath, RawQuery: request.URL.RawQuery, ForceQuery: request.URL.ForceQuery}
--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -26,13 +26,14 @@
 	response  *http.Response
 	suspect   *time.Timer
 	overdue   bool
+	returned  chan struct{} // closed when nothing more can be written
 }
 
 // send starts an attempt in the background.
 func (exchange *exchange) send(e event) {
 	ctx, cancel := context.WithCancel(exchange.ctx)
 	ctx, span := exchange.handler.Tracer.Start(ctx, "backend")
-	a := &attempt{id: e.id, grant: e.grant, cancel: cancel, sentAt: exchange.now()}
+	a := &attempt{id: e.id, grant: e.grant, cancel: cancel, sentAt: exchange.now(), returned: make(chan struct{})}
 	exchange.out[a.id] = a
 	out := exchange.outgoing(ctx)
 	options := backend.Options{
@@ -44,6 +45,7 @@
 	go func() {
 		defer span.End()
 		response, err := exchange.handler.Backend.Send(out, options, &a.progress)
+		close(a.returned)
 		exchange.post(event{attempt: a, response: response, err: err})
 	}()
 }
@@ -133,9 +135,29 @@
 	a.grant.Done(pool.Report{Outcome: outcome, Reused: a.progress.Reused()})
 }
 
-// closeAll ends all attempts that are out. One that is past its time of suspicion keeps its evidence.
-func (exchange *exchange) closeAll(outcome pool.Outcome) {
+// closeAll ends all attempts that are out, and reports whether any of them may have written a byte.
+//
+// An attempt may get its connection right before it is cancelled, so its word counts only once it has returned.
+func (exchange *exchange) closeAll(outcome pool.Outcome) (wrote bool) {
 	for _, a := range exchange.out {
+		a.cancel()
+		wrote = a.mayHaveWritten() || wrote
 		exchange.close(a, outcome)
 	}
+	return wrote
+}
+
+// returnPatience bounds the wait for a cancelled attempt to return.
+const returnPatience = time.Second
+
+// mayHaveWritten reports, of a cancelled attempt, whether a byte may have left.
+func (attempt *attempt) mayHaveWritten() bool {
+	timer := time.NewTimer(returnPatience)
+	defer timer.Stop()
+	select {
+	case <-attempt.returned:
+		return attempt.progress.Wrote()
+	case <-timer.C:
+		return true
+	}
 }
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -95,7 +95,7 @@
 			exchange.timeOut()
 			return
 		case <-exchange.r.Context().Done():
-			exchange.abandon(pool.Canceled)
+			exchange.abandon()
 			return
 		}
 	}
@@ -259,11 +259,7 @@
 
 // timeOut ends the exchange at its deadline.
 func (exchange *exchange) timeOut() {
-	wrote := false
-	for _, a := range exchange.out {
-		wrote = wrote || a.progress.Wrote()
-	}
-	exchange.closeAll(pool.TimedOut)
+	wrote := exchange.closeAll(pool.TimedOut)
 	exchange.finish(exchange.request.TimedOut(exchange.now(), wrote).Answer)
 }
 
@@ -279,12 +275,8 @@
 }
 
 // abandon ends the exchange of a caller that has gone.
-func (exchange *exchange) abandon(outcome pool.Outcome) {
-	wrote := false
-	for _, a := range exchange.out {
-		wrote = wrote || a.progress.Wrote()
-	}
-	exchange.closeAll(outcome)
+func (exchange *exchange) abandon() {
+	wrote := exchange.closeAll(pool.Canceled)
 	exchange.dropSpare()
 	action := exchange.request.TimedOut(exchange.now(), wrote)
 	exchange.settle(idempotency.Settlement{NotRun: action.Answer.Truth == retry.NotRun})
--- /dev/null
+++ b/adapters/caller/http/http_test.go
@@ -0,0 +1,58 @@
+package http
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	backend "github.com/sequoiaspan/sequoiaspan/adapters/backend/http"
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+// senderFunc is a backend adapter for one test.
+type senderFunc func(request *http.Request, progress *backend.Progress) (*http.Response, error)
+
+func (f senderFunc) Send(request *http.Request, _ backend.Options, progress *backend.Progress) (*http.Response, error) {
+	return f(request, progress)
+}
+
+func newTestHandler(send senderFunc) *Handler {
+	address := netip.MustParseAddrPort("127.0.0.1:9")
+	e := &entry.Entry{Name: "entry-0", Incarnation: "entry-0/1"}
+	e.Init()
+	e.ApplyList(instance.List{
+		Entries: []instance.Entry{{Name: "entry-0", Domain: "domain-0", Caller: address, Peer: address}},
+		Servers: []instance.Server{{Name: "payouts-0", Service: "payouts", Domain: "domain-0", Address: address}},
+	})
+	e.ApplyRules(1, "service payouts # asked by: test\nroute /releases service=payouts repeatable=no deadline=50ms # asked by: test\n")
+	return &Handler{
+		Entry: e, Backend: send, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""), Clock: time.Now,
+	}
+}
+
+// TestDeadlineWaitsForTheAttemptsWord cancels an attempt that gets its connection at the very moment of the deadline.
+func TestDeadlineWaitsForTheAttemptsWord(t *testing.T) {
+	for name, connects := range map[string]bool{"unknown": true, "not-run": false} {
+		t.Run(name, func(t *testing.T) {
+			handler := newTestHandler(func(request *http.Request, progress *backend.Progress) (*http.Response, error) {
+				<-request.Context().Done()
+				if connects {
+					progress.Connected(false)
+				}
+				return nil, request.Context().Err()
+			})
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/releases", nil))
+			must.Eq(t, http.StatusGatewayTimeout, recorder.Code)
+			must.Eq(t, name, recorder.Header().Get(backend.OutcomeHeader))
+		})
+	}
+}
