Drop what nothing uses

Cause: read as a newcomer: a version of the ejections, times and lookups without a user. Conclusion: behaviour as before.

--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -52,7 +52,6 @@
 	mu     sync.Mutex
 	wrote  bool
 	reused bool
-	sentAt time.Time
 }
 
 // Wrote reports whether a byte of the request may have left for the server.
@@ -69,18 +68,11 @@
 	return progress.reused
 }
 
-// SentAt returns when a connection was at hand, or the zero time.
-func (progress *Progress) SentAt() time.Time {
-	progress.mu.Lock()
-	defer progress.mu.Unlock()
-	return progress.sentAt
-}
-
 // Connected records that a connection is at hand: from here on a byte may leave.
 func (progress *Progress) Connected(reused bool) {
 	progress.mu.Lock()
 	defer progress.mu.Unlock()
-	progress.wrote, progress.reused, progress.sentAt = true, reused, time.Now()
+	progress.wrote, progress.reused = true, reused
 }
 
 // Backend sends requests to backend servers; the zero value works.
--- a/control/control.go
+++ b/control/control.go
@@ -42,7 +42,6 @@
 // Kinds of errors.
 const (
 	KindFile    Kind = "file"    // the rules file cannot be read or written
-	KindBase    Kind = "base"    // it is not known which version the file was made from
 	KindPartial Kind = "partial" // not every instance has the version in force
 	KindAway    Kind = "away"    // no instance answers
 )
--- a/core/instance/view.go
+++ b/core/instance/view.go
@@ -48,9 +48,6 @@
 	return true
 }
 
-// Seen reports whether any list was taken.
-func (view *View) Seen() bool { return view.seen }
-
 // AsOf returns the platform's time of the list taken last.
 func (view *View) AsOf() time.Time { return view.list.AsOf }
 
--- a/core/pool/ejection.go
+++ b/core/pool/ejection.go
@@ -124,7 +124,6 @@
 	s.phase = ejected
 	s.until = now.Add(ejectionLength(s.ejections))
 	s.evidence.clear()
-	pool.view++
 }
 
 func ejectionLength(count int) time.Duration {
@@ -181,7 +180,6 @@
 	s.phase, s.since = inService, now
 	s.evidence.clear()
 	s.startRamp(now)
-	pool.view++
 	pool.serveWaiters(now)
 }
 
@@ -192,20 +190,17 @@
 	Count  int // ejections in a row
 }
 
-// Ejections returns the servers out of service and the version of that list.
-func (pool *Pool) Ejections() ([]Ejected, uint64) {
+// Ejections returns the servers out of service.
+func (pool *Pool) Ejections() []Ejected {
 	var out []Ejected
 	for _, s := range pool.servers {
 		if s.phase != inService {
 			out = append(out, Ejected{s.member.Name, s.until, s.ejections})
 		}
 	}
-	return out, pool.view
+	return out
 }
 
-// View returns the version of the list of ejections.
-func (pool *Pool) View() uint64 { return pool.view }
-
 // Restore adopts ejections that an entry instance knows from the previous home, while the pool is young.
 func (pool *Pool) Restore(now time.Time, known []Ejected) {
 	pool.init(now)
@@ -220,7 +215,6 @@
 		s.phase = ejected
 		s.ejections = max(1, e.Count)
 		s.until = minTime(e.Until, now.Add(ejectionLength(s.ejections)))
-		pool.view++
 	}
 }
 
--- a/core/pool/fuzz_test.go
+++ b/core/pool/fuzz_test.go
@@ -187,7 +187,7 @@
 }
 
 func (w *poolWorld) restore() {
-	ejected, _ := w.homes[0].Ejections()
+	ejected := w.homes[0].Ejections()
 	w.homes[1] = &pool.Pool{}
 	w.homes[1].SetPolicy(w.policy)
 	w.homes[1].SetServers(w.now, w.members)
@@ -213,7 +213,7 @@
 		}
 	}
 	for h := range w.homes {
-		ejected, _ := w.homes[h].Ejections()
+		ejected := w.homes[h].Ejections()
 		out := 0
 		live := 0
 		for _, m := range w.members {
--- a/core/pool/policy_test.go
+++ b/core/pool/policy_test.go
@@ -70,7 +70,7 @@
 }
 
 func (p *pooled) ejected(server string) bool {
-	ejected, _ := p.pool.Ejections()
+	ejected := p.pool.Ejections()
 	return slices.ContainsFunc(ejected, func(e pool.Ejected) bool { return e.Server == server })
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -100,7 +100,6 @@
 	suspectIn  time.Duration // silence before the first byte that makes a server suspect
 	born       time.Time
 	lastTick   time.Time
-	view       uint64
 }
 
 // recent remembers the latest attempts that ended, so that a renewal that was under way does not bring them back.
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -100,9 +100,6 @@
 	return set.teams[name]
 }
 
-// Services returns the number of service rules.
-func (set *Set) Services() int { return len(set.services) }
-
 // Len returns the number of rules.
 func (set *Set) Len() int {
 	n := len(set.services) + len(set.teams)
@@ -112,13 +109,6 @@
 	return n
 }
 
-// EachService calls f for every service rule, in no order.
-func (set *Set) EachService(f func(*Service)) {
-	for _, service := range set.services {
-		f(service)
-	}
-}
-
 // Route returns the route with the longest prefix that takes the method, or nil.
 //
 // The path is cleaned first, so that dot segments cannot reach a route under another's rule.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -30,7 +30,7 @@
 	if sp == nil {
 		return nil
 	}
-	ejected, _ := sp.pool.Ejections()
+	ejected := sp.pool.Ejections()
 	return ejected
 }
 
