--- a/testing/scenario/world_test.go
+++ b/testing/scenario/world_test.go
@@ -135,6 +135,8 @@
 [intervals]
 instance-list = "200ms"
 key-table = "500ms"
+[traces]
+exporter = "stdout"
 `, s.Name, s.Domain, s.Caller, s.Peer, s.Operator, s.Store, s.Instances)
 }
 
