--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sequoiaspan/sequoiaspan/core/limit"
 	"github.com/sequoiaspan/sequoiaspan/core/quarantine"
 )
 
@@ -92,7 +93,7 @@
 	waiters    []waiter
 	ready      []Decision
 	budget     budget
-	rate       bucket
+	rate       limit.Bucket
 	baseline   rate // events of all servers
 	vantages   vantages
 	quarantine quarantine.Quarantine
@@ -196,8 +197,10 @@
 	if pool.quarantine.Suspicious(now, ask.Fingerprint) && pool.running(ask.Fingerprint) {
 		return Decision{Attempt: ask.Attempt, Verdict: Quarantined, RetryAt: now.Add(suspiciousRetry)}
 	}
-	if ask.Number <= 1 && !pool.rate.take(now, pool.policy.Limit) {
-		return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: pool.rate.nextAt(now, pool.policy.Limit)}
+	if ask.Number <= 1 {
+		if granted, retryAt := pool.rate.Take(now, pool.policy.Limit, 1); granted == 0 {
+			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
+		}
 	}
 	if ask.Number <= 1 {
 		pool.budget.earn()
