Tell the truth over all attempts when a refusal is passed on

Cause: found by reading the whole change. An idempotent request whose first attempt was lost, and whose next ones a backend server refused unrun, got that server's not-run passed on, although the first attempt may have run.

Change: a refusal passed on carries the truth over all attempts. Also one check of the attempt number in place of two in a row in Pool.Ask, behaviour as before.

Conclusion: not-run is said of the request, not of its last attempt.

--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -268,7 +268,7 @@
 	exchange.closeAll(pool.Canceled)
 	exchange.settle(idempotency.Settlement{NotRun: answer.Truth == retry.NotRun})
 	if exchange.spare != nil {
-		exchange.passOn(exchange.spare)
+		exchange.passOn(exchange.spare, answer.Truth)
 		return
 	}
 	exchange.handler.answer(exchange.w, exchange.r, answer)
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -15,6 +15,7 @@
 
 	backend "github.com/sequoiaspan/sequoiaspan/adapters/backend/http"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
+	"github.com/sequoiaspan/sequoiaspan/core/retry"
 	"github.com/sequoiaspan/sequoiaspan/entry"
 )
 
@@ -54,12 +55,16 @@
 	copyTrailers(exchange.w.Header(), download.attempt.response)
 }
 
-// passOn passes on the refusal of a backend server whose grant has ended.
-func (exchange *exchange) passOn(a *attempt) {
+// passOn passes on the refusal of a backend server whose grant has ended. The server speaks for its own attempt only: what
+// is told of the request is the truth over all attempts.
+func (exchange *exchange) passOn(a *attempt, truth retry.Truth) {
 	defer a.cancel()
 	defer a.response.Body.Close()
 	copyHeader(exchange.w.Header(), a.response.Header)
 	exchange.w.Header().Del(backend.StateHeader)
+	if backend.RefusedUnrun(a.response) {
+		exchange.w.Header().Set(backend.OutcomeHeader, string(truth))
+	}
 	exchange.w.WriteHeader(a.response.StatusCode)
 	download := &download{exchange: exchange, attempt: a}
 	if err := download.copy(); err != nil {
--- a/adapters/caller/http/http_test.go
+++ b/adapters/caller/http/http_test.go
@@ -1,6 +1,7 @@
 package http
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -56,3 +57,22 @@
 		})
 	}
 }
+
+// TestRefusalDoesNotHideAnEarlierAttempt loses one attempt and has the next ones refused unrun.
+func TestRefusalDoesNotHideAnEarlierAttempt(t *testing.T) {
+	attempts := 0
+	handler := newTestHandler(func(_ *http.Request, progress *backend.Progress) (*http.Response, error) {
+		attempts++
+		progress.Connected(false)
+		if attempts == 1 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		header := http.Header{backend.OutcomeHeader: {"not-run"}, "Retry-After": {"1"}}
+		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: header, Body: http.NoBody}, nil
+	})
+	handler.Entry.ApplyRules(2, "service payouts # asked by: test\nroute /balances service=payouts deadline=10s # asked by: test\n")
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/balances", nil))
+	must.Eq(t, http.StatusServiceUnavailable, recorder.Code)
+	must.Eq(t, "unknown", recorder.Header().Get(backend.OutcomeHeader))
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -201,8 +201,6 @@
 		if granted, retryAt := pool.rate.Take(now, pool.policy.Limit, 1); granted == 0 {
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
 		}
-	}
-	if ask.Number <= 1 {
 		pool.budget.earn()
 	} else if !pool.budget.spend(ask.Hedge) {
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(budgetRetry)}
