Verify suspects at once from other failure domains

Ruled out: the threshold (two failures ejected healthy servers 61 to 147 times an hour, measured earlier), the time of suspicion (0.08 s of it). Change: when another server has answered the request in time, instances of two other failure domains send a copy of it to the suspect and one to another server as a control (SWIM's indirect probe, with real work). The home grants them while the server is suspect; they spend the hedges' budget up to 6 of its 10 tokens. Only GET and HEAD without a body. The other servers' answers count from the grant of the failed attempt, not from the verdict on it. With ejection=quick, one failure beside the domain with the most is enough only while the server has answered nobody since.

--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -148,6 +148,11 @@
 	return response.StatusCode >= 400 && response.Header.Get(OutcomeHeader) == string(retry.NotRun)
 }
 
+// IsServerError reports whether a status speaks against the server that gave it.
+func IsServerError(status int) bool {
+	return status == http.StatusInternalServerError || status == http.StatusBadGateway || status == http.StatusGatewayTimeout
+}
+
 // Leaving reports whether the server says that it is leaving.
 func Leaving(response *http.Response) bool {
 	return response.Header.Get(StateHeader) == StateLeaving
--- /dev/null
+++ b/adapters/backend/http/replay.go
@@ -0,0 +1,72 @@
+package http
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+// reply is what came of a request that was sent.
+type reply struct {
+	response *http.Response
+	err      error
+}
+
+// Replay sends a copy of a request under a grant, drops the answer, and ends the grant with what came of it.
+//
+// A copy whose answer would come too late to clear the server is cancelled.
+func (backend *Backend) Replay(ctx context.Context, grant *entry.Grant, request entry.Copy) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out, err := http.NewRequestWithContext(ctx, request.Method, "http://"+grant.Address.String()+request.Target, nil)
+	if err != nil {
+		grant.Done(pool.Report{Outcome: pool.Unused})
+		return
+	}
+	out.Host, out.Header = request.Host, request.Header.Clone()
+	started := time.Now()
+	silence := grant.SuspectAt.Sub(started)
+	overdue, late := time.NewTimer(silence), time.NewTimer(pool.LateFactor*silence)
+	defer overdue.Stop()
+	defer late.Stop()
+	progress := &Progress{}
+	replies := make(chan reply, 1)
+	go func() {
+		response, err := backend.Send(out, Options{Address: grant.Address, Fresh: true}, progress)
+		replies <- reply{response, err}
+	}()
+	for {
+		select {
+		case <-overdue.C:
+			grant.Overdue(false)
+		case <-late.C:
+			cancel()
+		case r := <-replies:
+			grant.Done(reportOf(ctx, r, progress, time.Since(started)))
+			return
+		}
+	}
+}
+
+// reportOf tells what came of a copy, and closes its answer.
+func reportOf(ctx context.Context, r reply, progress *Progress, took time.Duration) pool.Report {
+	if r.err == nil {
+		defer r.response.Body.Close()
+	}
+	switch {
+	case r.err != nil && ctx.Err() != nil:
+		return pool.Report{Outcome: pool.Canceled}
+	case r.err != nil && !progress.Wrote():
+		return pool.Report{Outcome: pool.ConnectFailed}
+	case r.err != nil:
+		return pool.Report{Outcome: pool.Reset}
+	case RefusedUnrun(r.response) || r.response.StatusCode == http.StatusServiceUnavailable:
+		return pool.Report{Outcome: pool.Shed, Leaving: Leaving(r.response)}
+	case IsServerError(r.response.StatusCode):
+		return pool.Report{Outcome: pool.ServerError, Leaving: Leaving(r.response)}
+	}
+	return pool.Report{Outcome: pool.Answered, FirstByte: took, Leaving: Leaving(r.response)}
+}
--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -69,6 +69,7 @@
 		return false
 	}
 	a.overdue = true
+	exchange.doubtful = append(exchange.doubtful, a.grant.Server)
 	a.grant.Overdue(a.progress.Reused())
 	return exchange.do(exchange.request.Overdue(exchange.now(), exchange.body.replayable()))
 }
@@ -76,9 +77,10 @@
 // failed follows an attempt that brought no answer.
 func (exchange *exchange) failed(a *attempt, err error) bool {
 	exchange.handler.Log.Debug("backend: an attempt failed", zap.String("backend-server", a.grant.Server), zap.Error(err))
-	outcome := pool.ConnectFailed
-	if a.progress.Wrote() {
-		outcome = pool.Reset
+	outcome := pool.Reset
+	if !a.progress.Wrote() {
+		outcome = pool.ConnectFailed
+		exchange.doubtful = append(exchange.doubtful, a.grant.Server)
 	}
 	exchange.close(a, outcome)
 	return exchange.again(retry.Failure{Wrote: a.progress.Wrote(), Replayable: exchange.body.replayable()})
@@ -101,6 +103,7 @@
 	}
 	delete(exchange.out, a.id)
 	exchange.dropSpare()
+	exchange.verifyDoubtful(a)
 	exchange.closeAll(pool.Canceled)
 	if exchange.claim != nil {
 		exchange.settle(idempotency.Settlement{Ran: true, Status: response.StatusCode})
@@ -109,6 +112,26 @@
 	return true
 }
 
+// verifyDoubtful has other instances verify the servers that did badly with a request that one has now answered in time:
+// the cause is not the request itself.
+func (exchange *exchange) verifyDoubtful(answered *attempt) {
+	if len(exchange.doubtful) == 0 || answered.overdue || backend.IsServerError(answered.response.StatusCode) {
+		return
+	}
+	method := exchange.r.Method
+	if method != http.MethodGet && method != http.MethodHead || exchange.body.length != 0 {
+		return
+	}
+	copied := entry.Copy{
+		Method: method, Target: exchange.r.URL.RequestURI(), Host: exchange.r.Host,
+		Header: outgoingHeader(exchange.r, exchange.request.Deadline),
+	}
+	for _, server := range exchange.doubtful {
+		suspicion := entry.Verification{Slice: exchange.slice, Server: server, Fingerprint: exchange.fingerprint, Request: copied}
+		exchange.handler.Entry.VerifyBeside(suspicion, exchange.handler.nextAttempt)
+	}
+}
+
 // shed follows a server's refusal: another may take the request, or the refusal is passed on.
 func (exchange *exchange) shed(a *attempt, refused bool) bool {
 	delete(exchange.out, a.id)
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -122,7 +122,7 @@
 		report.Outcome = pool.Stalled
 	case err != nil:
 		report.Outcome = pool.Truncated
-	case isServerError(a.response.StatusCode):
+	case backend.IsServerError(a.response.StatusCode):
 		report.Outcome = pool.ServerError
 	default:
 		report.Outcome = pool.Answered
@@ -133,10 +133,6 @@
 	a.grant.Done(report)
 }
 
-func isServerError(status int) bool {
-	return status == http.StatusInternalServerError || status == http.StatusBadGateway || status == http.StatusGatewayTimeout
-}
-
 // copy copies the present attempt's body.
 func (download *download) copy() error {
 	buffer := buffers.Get().(*[copyBytes]byte)
--- a/adapters/peer/yamux/client.go
+++ b/adapters/peer/yamux/client.go
@@ -321,6 +321,11 @@
 	return client.tell(ctx, "renew", to, &wire.Frame{Body: &wire.Frame_Renew{Renew: renewalTo(renewal, client.Clock())}})
 }
 
+// Verify asks a peer to verify a backend server.
+func (client *Client) Verify(ctx context.Context, to entry.Peer, verification entry.Verification) error {
+	return client.tell(ctx, "verify", to, &wire.Frame{Body: &wire.Frame_Verify{Verify: verificationTo(verification)}})
+}
+
 // Claim asks a key's owner whether a request may run.
 func (client *Client) Claim(ctx context.Context, to entry.Peer, claim idempotency.Claim) (idempotency.Verdict, error) {
 	frame := &wire.Frame{Body: &wire.Frame_Claim{Claim: claimTo(claim, client.Clock())}}
--- a/adapters/peer/yamux/convert.go
+++ b/adapters/peer/yamux/convert.go
@@ -1,6 +1,7 @@
 package yamux
 
 import (
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -35,7 +36,7 @@
 	return &wire.Ask{
 		Attempt: ask.Attempt, Service: slice.Service, Slice: uint32(slice.Index), Team: ask.Team,
 		Idempotent: ask.Idempotent, Hedge: ask.Hedge, Number: uint32(ask.Number), Exclude: ask.Exclude,
-		WaitNanos: until(now, ask.Deadline), Fingerprint: ask.Fingerprint,
+		WaitNanos: until(now, ask.Deadline), Fingerprint: ask.Fingerprint, Verify: ask.Verify,
 	}
 }
 
@@ -43,7 +44,7 @@
 	return sliceOf(message.GetService(), message.GetSlice()), pool.Ask{
 		Attempt: message.GetAttempt(), Team: message.GetTeam(), Idempotent: message.GetIdempotent(),
 		Hedge: message.GetHedge(), Number: int(message.GetNumber()), Exclude: message.GetExclude(),
-		Deadline: after(now, message.GetWaitNanos()), Fingerprint: message.GetFingerprint(),
+		Deadline: after(now, message.GetWaitNanos()), Fingerprint: message.GetFingerprint(), Verify: message.GetVerify(),
 	}
 }
 
@@ -107,6 +108,30 @@
 	}
 }
 
+func verificationTo(verification entry.Verification) *wire.Verify {
+	message := &wire.Verify{
+		Service: verification.Slice.Service, Slice: uint32(verification.Slice.Index), Server: verification.Server,
+		Attempt: verification.Attempt, Control: verification.Control, Fingerprint: verification.Fingerprint,
+		Method: verification.Request.Method, Target: verification.Request.Target, Host: verification.Request.Host,
+	}
+	for name, values := range verification.Request.Header {
+		message.Header = append(message.Header, &wire.Header{Name: name, Values: values})
+	}
+	return message
+}
+
+func verificationFrom(message *wire.Verify) entry.Verification {
+	header := http.Header{}
+	for _, h := range message.GetHeader() {
+		header[h.GetName()] = h.GetValues()
+	}
+	return entry.Verification{
+		Slice: sliceOf(message.GetService(), message.GetSlice()), Server: message.GetServer(),
+		Attempt: message.GetAttempt(), Control: message.GetControl(), Fingerprint: message.GetFingerprint(),
+		Request: entry.Copy{Method: message.GetMethod(), Target: message.GetTarget(), Host: message.GetHost(), Header: header},
+	}
+}
+
 func renewalTo(renewal entry.Renewal, now time.Time) *wire.Renew {
 	message := &wire.Renew{}
 	for _, r := range renewal.Slices {
--- a/adapters/peer/yamux/server.go
+++ b/adapters/peer/yamux/server.go
@@ -28,6 +28,7 @@
 	HandleSettle(settlement idempotency.Settlement) bool
 	HandleHandover(handover idempotency.Handover) (idempotency.Keys, bool)
 	HandlePullRules(have uint64) (version uint64, text string)
+	HandleVerify(verification entry.Verification)
 	HandleTakeTokens(team string, want int) (granted int, retryAt time.Time)
 	HandleVersions(from entry.Peer, rulesVersion, tableEpoch uint64)
 	MarkLeaving(name string)
@@ -154,6 +155,8 @@
 		handler.HandleReport(slice, report)
 	case *wire.Frame_Renew:
 		handler.HandleRenew(remote.peer.Name, remote.domain, renewalFrom(body.Renew, now))
+	case *wire.Frame_Verify:
+		handler.HandleVerify(verificationFrom(body.Verify))
 	case *wire.Frame_Claim:
 		verdict := handler.HandleClaim(claimFrom(body.Claim, now))
 		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_Verdict{Verdict: verdictTo(verdict, now)}})
--- a/adapters/peer/yamux/yamux_test.go
+++ b/adapters/peer/yamux/yamux_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"runtime"
 	"sync"
@@ -32,6 +33,8 @@
 type grantAll struct {
 	reports atomic.Int64
 	silent  atomic.Bool
+	// verified takes the verifications asked for.
+	verified chan entry.Verification
 }
 
 var anyServer = netip.MustParseAddrPort("127.0.0.1:9")
@@ -47,6 +50,7 @@
 }
 func (h *grantAll) HandleReport(home.Slice, pool.Report)          { h.reports.Add(1) }
 func (h *grantAll) HandleRenew(string, string, entry.Renewal)     {}
+func (h *grantAll) HandleVerify(v entry.Verification)             { h.verified <- v }
 func (h *grantAll) HandleSettle(idempotency.Settlement) bool      { return true }
 func (h *grantAll) HandlePullRules(uint64) (uint64, string)       { return 3, "rules" }
 func (h *grantAll) HandleTakeTokens(string, int) (int, time.Time) { return 2, time.Time{} }
@@ -90,7 +94,7 @@
 
 func newPair(tb testing.TB) *pair {
 	tb.Helper()
-	p := &pair{handler: &grantAll{}}
+	p := &pair{handler: &grantAll{verified: make(chan entry.Verification, 1)}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(tb, err)
 	p.peer = entry.Peer{Name: "entry-b", Address: listener.Addr().(*net.TCPAddr).AddrPort()}
@@ -146,6 +150,12 @@
 	must.NoError(t, err)
 	must.Eq(t, 2, granted)
 	must.NoError(t, p.client.Leaving(ctx, p.peer))
+	verification := entry.Verification{
+		Slice: home.Slice{Service: "balances", Index: 2}, Server: "balances-1", Attempt: 7, Control: 8, Fingerprint: 9,
+		Request: entry.Copy{Method: "GET", Target: "/balances?a=b", Host: "fondo", Header: http.Header{"Accept": {"a", "b"}}},
+	}
+	must.NoError(t, p.client.Verify(ctx, p.peer, verification))
+	must.Eq(t, verification, <-p.handler.verified)
 }
 
 func TestSilentPeerIsPassedOver(t *testing.T) {
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -2,6 +2,7 @@
 package home
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,6 +72,31 @@
 	return first, deputy
 }
 
+// Vantages returns the indices of up to count instances from which a slice's servers are seen beside one of a failure
+// domain: the slice's highest ranked one of each other domain, among them its home and deputy, and then others.
+func Vantages(slice Slice, candidates []Candidate, from instance.Entry, count int) []int {
+	key := xxhash.Sum64String(slice.String())
+	var chosen []int
+	taken := func(i int) bool {
+		return candidates[i].Entry.Name == from.Name || slices.Contains(chosen, i)
+	}
+	sameDomain := func(i int) bool {
+		domain := candidates[i].Entry.Domain
+		return domain == from.Domain || slices.ContainsFunc(chosen, func(c int) bool { return candidates[c].Entry.Domain == domain })
+	}
+	for len(chosen) < count {
+		next := best(key, candidates, func(i int) bool { return !taken(i) && !sameDomain(i) })
+		if next < 0 {
+			next = best(key, candidates, func(i int) bool { return !taken(i) })
+		}
+		if next < 0 {
+			break
+		}
+		chosen = append(chosen, next)
+	}
+	return chosen
+}
+
 func best(key uint64, candidates []Candidate, allowed func(int) bool) int {
 	found, score := -1, uint64(0)
 	for i := range candidates {
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -52,6 +52,27 @@
 	must.NotEq(t, first, deputy)
 }
 
+func TestVantagesAreInOtherDomains(t *testing.T) {
+	all := entries(12, 3)
+	candidates := Candidates(all)
+	slice := Slice{Service: "balances"}
+	first, deputy := Choose(slice, candidates)
+	for _, from := range all {
+		chosen := Vantages(slice, candidates, from, 2)
+		must.SliceLen(t, 2, chosen)
+		a, b := candidates[chosen[0]].Entry, candidates[chosen[1]].Entry
+		must.NotEq(t, from.Domain, a.Domain)
+		must.NotEq(t, from.Domain, b.Domain)
+		must.NotEq(t, a.Domain, b.Domain)
+		if d := from.Domain; d != candidates[first].Entry.Domain && d != candidates[deputy].Entry.Domain {
+			must.Eq(t, []int{first, deputy}, chosen)
+		}
+	}
+	must.SliceLen(t, 2, Vantages(slice, Candidates(entries(3, 1)), all[0], 2))
+	must.SliceLen(t, 1, Vantages(slice, Candidates(entries(2, 2)), all[0], 2))
+	must.SliceEmpty(t, Vantages(slice, Candidates(entries(1, 1)), all[0], 2))
+}
+
 func TestSlicesCoverAllServers(t *testing.T) {
 	must.Eq(t, 1, Slices(0))
 	must.Eq(t, 1, Slices(32))
--- a/core/pool/choice.go
+++ b/core/pool/choice.go
@@ -65,25 +65,6 @@
 	return rankSuspect
 }
 
-// mayVerify reports whether one more request may go to a suspect to confirm or clear it.
-//
-// A path that has failed enough is tried now and then only: more failures from there would add nothing.
-func (pool *Pool) mayVerify(now time.Time, ask *Ask, s *server, suspect bool) bool {
-	if s.verifying >= mostVerifying || now.Before(s.verifyAt) {
-		return false
-	}
-	if suspect && (pool.vantages.sole(now) || s.evidence.against(now, ask.Domain) < pathScore) {
-		return true
-	}
-	return s.verifying == 0 && now.Sub(s.lastPathTrial) >= pathTrialEvery
-}
-
-// pathTrialEvery is the time between two requests that try a suspect path again.
-const pathTrialEvery = 5 * time.Second
-
-// mostVerifying bounds the verifications of one suspect that are out at a time.
-const mostVerifying = 3
-
 func (pool *Pool) triedDomain(ask *Ask, s *server) bool {
 	for _, name := range ask.Exclude {
 		if tried := pool.server(name); tried != nil && tried.member.Domain == s.member.Domain {
--- a/core/pool/ejection.go
+++ b/core/pool/ejection.go
@@ -27,13 +27,16 @@
 	Address netip.AddrPort
 }
 
-// threshold returns the evidence that convicts, and how much of it must come from beside the domain with the most.
-func (pool *Pool) threshold(now time.Time) (overall, beside float64) {
+// threshold returns the evidence that convicts a server, and how much of it must come from beside the domain with the most.
+func (pool *Pool) threshold(now time.Time, s *server) (overall, beside float64) {
 	more := math.Log(max(1, pool.baseline.perSecond(now)/thresholdRate))
-	if pool.policy.Ejection == rules.Quick {
-		return quickThreshold + more, quickBeside
+	if pool.policy.Ejection != rules.Quick {
+		return cautiousThreshold + more, leastBeside
 	}
-	return cautiousThreshold + more, cautiousBeside
+	if s.evidence.answers > 0 {
+		return quickThreshold + more, leastBeside
+	}
+	return quickThreshold + more, quickBeside
 }
 
 // considerEjection ejects a server when the evidence convicts it, the slice as a whole is well and the floor holds.
@@ -59,35 +62,46 @@
 	if s.evidence.overall.sum < quickThreshold {
 		return false
 	}
-	overall, beside := pool.threshold(now)
+	leastOverall, leastBeside := pool.threshold(now, s)
 	if pool.vantages.soleEntry(now) {
-		overall *= soleEntryFactor
+		leastOverall *= soleEntryFactor
 	}
-	if s.evidence.overall.value(now) < overall {
+	if s.evidence.overall.value(now) < leastOverall {
 		return false
 	}
-	return pool.vantages.sole(now) || s.evidence.beside(now) >= beside
+	return pool.vantages.sole(now) || s.evidence.beside(now) >= leastBeside
 }
 
-// noteControl counts an outcome at one server for the suspicions against all others.
-func (pool *Pool) noteControl(now time.Time, at *server, failed bool) {
+// reconsider decides on all servers again after an answer, which may show that the others are well.
+func (pool *Pool) reconsider(now time.Time) {
 	for _, s := range pool.servers {
-		switch {
-		case s == at:
-		case failed:
-			s.control.failed++
-		default:
-			s.control.answered++
-			pool.considerEjection(now, s)
-		}
+		pool.considerEjection(now, s)
 	}
 }
 
 // sliceSuspect reports whether other servers do badly too, so that the cause may be shared.
 func (pool *Pool) sliceSuspect(now time.Time, except *server) bool {
-	if !except.control.clean() {
-		return true
+	return !pool.othersAnswer(except) || pool.othersSuspect(now, except)
+}
+
+// othersAnswer reports whether enough of the other servers have answered in time since the attempt of the server's
+// latest failure was granted: what kept that one silent did not keep them. The latest word of each of them counts.
+func (pool *Pool) othersAnswer(except *server) bool {
+	answered, failed := 0, 0
+	for _, s := range pool.servers {
+		switch {
+		case s == except:
+		case s.answeredAt.After(except.failedSentAt) && s.answeredAt.After(s.failedAt):
+			answered++
+		case s.failedAt.After(except.failedSentAt):
+			failed++
+		}
 	}
+	return answered > 0 && answered >= controlFactor*failed
+}
+
+// othersSuspect reports whether so many other servers are suspect that the cause may be shared.
+func (pool *Pool) othersSuspect(now time.Time, except *server) bool {
 	suspects := 0
 	for _, s := range pool.servers {
 		if s != except && s.phase == inService && s.evidence.overall.value(now) >= suspectScore {
--- a/core/pool/evidence.go
+++ b/core/pool/evidence.go
@@ -19,12 +19,12 @@
 
 	quickThreshold    = 10.0 // three failures against the least baseline
 	cautiousThreshold = 11.0 // as many, without an answer in time between them
-	quickBeside       = 3.0  // evidence needed from beside the domain with the most: one failure
-	cautiousBeside    = 4.5  // two failures
+	leastBeside       = 4.5  // evidence needed from beside the domain with the most: two failures
+	quickBeside       = 3.0  // one failure, while the server has answered nobody in time since it is suspect
 	pathScore         = 5.0  // evidence from one domain that more from there adds nothing to
 	thresholdRate     = 20.0 // requests per second above which the threshold grows, as chances to err do
 	suspectScore      = 1.0
-	controlFactor     = 2    // answers for each failure that the other servers must show
+	controlFactor     = 2    // servers that answer for each one that fails, among the others
 	retractShare      = 0.8  // of the evidence of an answer that was a little late
 	sameEntryWeight   = 0.25 // a repeated failure from one entry instance
 	reusedWeight      = 0.25 // a failure on a reused connection
@@ -97,6 +97,7 @@
 // evidence is all evidence against a server.
 type evidence struct {
 	overall score
+	answers int // in time since the overall score began to rise
 	domains [maxDomains]domainEvidence
 	used    int
 }
@@ -123,6 +124,7 @@
 	d.score.add(now, ratio)
 	d.lastEntry = ""
 	evidence.overall.add(now, ratio)
+	evidence.answers++
 }
 
 // fail adds a failure and returns what it added.
@@ -132,6 +134,9 @@
 		weight *= sameEntryWeight
 	}
 	d.lastEntry = entry
+	if evidence.overall.value(now) < suspectScore {
+		evidence.answers = 0
+	}
 	ratio := weight * math.Log(sickRate/baseline)
 	d.score.add(now, ratio)
 	evidence.overall.add(now, ratio)
@@ -165,18 +170,8 @@
 	return sum - most
 }
 
-// control counts what the other servers of the slice did since the latest failure of a server.
-type control struct {
-	answered, failed int
-}
-
-// clean reports whether the other servers did well meanwhile, so that the cause is not a shared one.
-func (control control) clean() bool {
-	return control.answered > 0 && control.answered >= controlFactor*control.failed
-}
-
 func (evidence *evidence) clear() {
-	evidence.overall, evidence.domains, evidence.used = score{}, [maxDomains]domainEvidence{}, 0
+	evidence.overall, evidence.answers, evidence.domains, evidence.used = score{}, 0, [maxDomains]domainEvidence{}, 0
 }
 
 // vantageMemory bounds how long a domain counts as one that evidence can come from.
--- a/core/pool/fuzz_test.go
+++ b/core/pool/fuzz_test.go
@@ -89,7 +89,13 @@
 		ask.Exclude = []string{w.members[rapid.IntRange(0, len(w.members)-1).Draw(w.t, "tried")].Name}
 		ask.Hedge = ask.Idempotent && rapid.Bool().Draw(w.t, "hedge")
 	}
+	if ask.Idempotent && ask.Number == 1 && rapid.IntRange(0, 3).Draw(w.t, "copy") == 0 {
+		ask.Verify = w.members[rapid.IntRange(0, len(w.members)-1).Draw(w.t, "suspect")].Name
+	}
 	decision := w.homes[h].Ask(w.now, ask)
+	if ask.Verify != "" && (decision.Verdict == pool.Queued || decision.Verdict == pool.Granted && decision.Server != ask.Verify) {
+		w.t.Fatalf("a verification of %s became %+v", ask.Verify, decision)
+	}
 	if (ask.Hedge || !ask.Idempotent) && decision.Verdict == pool.Granted && slices.Contains(ask.Exclude, decision.Server) {
 		w.t.Fatalf("a server tried before was granted again to %+v", ask)
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -42,6 +42,7 @@
 	Hedge       bool     // a second copy of an attempt that is still out
 	Number      int      // attempt number of the request, from 1
 	Exclude     []string // servers that this request has tried
+	Verify      string   // suspect server to verify with a copy of an answered request, empty for a caller's request
 	Deadline    time.Time
 	Fingerprint uint64 // 0 when the request has none
 }
@@ -67,6 +68,8 @@
 	Limited
 	// NotReady means that the asked instance does not know the service's backend servers yet; another is to be asked.
 	NotReady
+	// NotNeeded means that the server to verify is not suspect, or enough verifications of it are out.
+	NotNeeded
 )
 
 // Decision answers an Ask.
@@ -122,6 +125,7 @@
 type grant struct {
 	server      *server
 	team        string
+	grantedAt   time.Time
 	expires     time.Time
 	added       float64 // evidence that being overdue added
 	fingerprint uint64
@@ -197,12 +201,15 @@
 	if pool.quarantine.Suspicious(now, ask.Fingerprint) && pool.running(ask.Fingerprint) {
 		return Decision{Attempt: ask.Attempt, Verdict: Quarantined, RetryAt: now.Add(suspiciousRetry)}
 	}
+	if ask.Verify != "" {
+		return pool.verify(now, &ask)
+	}
 	if ask.Number <= 1 {
 		if granted, retryAt := pool.rate.Take(now, pool.policy.Limit, 1); granted == 0 {
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
 		}
 		pool.budget.earn()
-	} else if !pool.budget.spend(ask.Hedge) {
+	} else if !pool.budget.spend(mostFor(ask.Hedge)) {
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(budgetRetry)}
 	}
 	if len(pool.waiters) > 0 && !ask.Hedge {
@@ -227,7 +234,7 @@
 // grant takes a slot of the server.
 func (pool *Pool) grant(now time.Time, ask *Ask, s *server, r rank) Decision {
 	g := grant{
-		server: s, team: ask.Team, expires: now.Add(leaseLength), verifies: r == rankVerify, fingerprint: ask.Fingerprint,
+		server: s, team: ask.Team, grantedAt: now, expires: now.Add(leaseLength), verifies: r == rankVerify, fingerprint: ask.Fingerprint,
 	}
 	pool.grants[ask.Attempt] = g
 	s.inFlight++
@@ -273,7 +280,7 @@
 			}
 			s.inFlight++
 			pool.hold(h.Team, 1)
-			g = grant{server: s, team: h.Team}
+			g = grant{server: s, team: h.Team, grantedAt: now}
 		}
 		g.expires = now.Add(leaseLength)
 		pool.grants[h.Attempt] = g
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -75,13 +75,15 @@
 	Fingerprint uint64
 }
 
+// LateFactor is how many times the time of suspicion an answer may take to count as late and not as lost.
+const LateFactor = 3
+
 // First byte statistics.
 const (
 	coldSuspectIn  = 500 * time.Millisecond
 	leastSuspectIn = 60 * time.Millisecond
 	mostSuspectIn  = 10 * time.Second
 	suspectFactor  = 2.0  // times the slice's median of the servers' 95th percentiles
-	lateFactor     = 3    // an answer within so many times the time of suspicion is late, not lost
 	slowedFactor   = 1.25 // a rise of the time of suspicion by which earlier evidence is void
 	statsInterval  = time.Second
 	statsWindows   = 4
@@ -116,13 +118,13 @@
 	pool.noteFingerprint(now, s, report)
 	switch {
 	case report.Overdue:
-		return pool.failed(now, s, report, 1)
+		return pool.failed(now, s, report, 1, g)
 	case report.Outcome == Answered:
 		pool.answered(now, s, report, g)
 	case report.Outcome == Shed:
 		s.shed(now)
 	case report.Outcome.weight() > 0 && !g.overdue:
-		return pool.failed(now, s, report, report.Outcome.weight())
+		return pool.failed(now, s, report, report.Outcome.weight(), g)
 	}
 	return 0
 }
@@ -145,7 +147,7 @@
 	s.recordFirstByte(report.FirstByte)
 	s.sheds = 0
 	if g.overdue {
-		if report.FirstByte < lateFactor*pool.suspectIn {
+		if report.FirstByte < LateFactor*pool.suspectIn {
 			s.evidence.retract(now, report.Domain, g.added)
 		}
 		return
@@ -153,13 +155,14 @@
 	baseline := baselineWithout(now, &pool.baseline, &s.events)
 	s.events.add(now, 0)
 	pool.baseline.add(now, 0)
-	pool.noteControl(now, s, false)
+	s.answeredAt = now
 	s.evidence.succeed(now, report.Domain, baseline)
 	pool.passTrial(now, s)
+	pool.reconsider(now)
 }
 
 // failed adds a failure to a server's evidence and returns what it added.
-func (pool *Pool) failed(now time.Time, s *server, report Report, weight float64) float64 {
+func (pool *Pool) failed(now time.Time, s *server, report Report, weight float64, g grant) float64 {
 	if report.Reused {
 		weight *= reusedWeight
 		s.freshUntil = now.Add(freshLength)
@@ -167,8 +170,10 @@
 	baseline := baselineWithout(now, &pool.baseline, &s.events)
 	s.events.add(now, weight)
 	pool.baseline.add(now, weight)
-	s.control = control{}
-	pool.noteControl(now, s, true)
+	s.failedAt, s.failedSentAt = now, now
+	if !g.grantedAt.IsZero() {
+		s.failedSentAt = g.grantedAt
+	}
 	added := s.evidence.fail(now, report.Domain, report.Entry, weight, baseline)
 	if s.phase == trial {
 		pool.eject(now, s)
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -49,7 +49,9 @@
 	connected     float64   // estimate of open connections
 	countedAt     time.Time // time of the estimate
 	evidence      evidence
-	control       control
+	answeredAt    time.Time // latest answer in time
+	failedAt      time.Time // latest failure
+	failedSentAt  time.Time // when the attempt of the latest failure was granted
 	events        rate
 	firstBytes    *hdrhistogram.WindowedHistogram
 	rotateAt      time.Time
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -138,6 +138,12 @@
 	b.after(d, func() { f(); b.every(d, f) })
 }
 
+// report passes a report to the policy, which may eject a server on it.
+func (b *bench) report(report pool.Report) {
+	b.policy.report(b.now, report)
+	b.observe()
+}
+
 // observe counts ejections.
 func (b *bench) observe() {
 	for _, s := range b.servers {
@@ -187,6 +193,7 @@
 	state    retry.Request
 	deadline time.Time
 	done     bool
+	doubtful []string // servers that were silent or could not be reached
 }
 
 func (b *bench) request(team string) {
@@ -247,7 +254,7 @@
 		return
 	case r.done:
 		report.Outcome = pool.Unused
-		b.policy.report(b.now, report)
+		b.report(report)
 		return
 	}
 	r.state.Granted(d.Server)
@@ -270,7 +277,7 @@
 		if outcome == pool.Answered {
 			report.FirstByte = b.now.Sub(started)
 		}
-		b.policy.report(b.now, report)
+		b.report(report)
 	}
 	outcome, length := b.fate(s, r.entry%benchDomains)
 	if length > 0 {
@@ -284,9 +291,15 @@
 					r.done = true
 					b.answered++
 					b.byTeam[r.team]++
+					if b.now.Before(d.SuspectAt) {
+						r.verify()
+					}
 				}
 				return
 			}
+			if outcome == pool.ConnectFailed {
+				r.doubtful = append(r.doubtful, d.Server)
+			}
 			if !r.done {
 				r.do(r.state.Failed(b.now, retry.Failure{Wrote: true, Replayable: true}, b.random))
 			}
@@ -305,7 +318,8 @@
 			}
 			overdue := report
 			overdue.Overdue = true
-			b.policy.report(b.now, overdue)
+			b.report(overdue)
+			r.doubtful = append(r.doubtful, d.Server)
 			r.do(r.state.Overdue(b.now, true))
 		})
 	} else {
@@ -330,6 +344,77 @@
 	b.after(10*time.Millisecond, poll)
 }
 
+// verify has entry instances of the other domains verify the servers that did badly, now that another has answered.
+func (r *benchRequest) verify() {
+	b := r.bench
+	for _, server := range r.doubtful {
+		for beside := 1; beside < benchDomains; beside++ {
+			entry := (r.entry + beside) % benchEntries
+			b.after(3*benchHop, func() { b.verifyFrom(entry, server) })
+		}
+	}
+}
+
+// verifyFrom sends a copy to the server, and one to another server as a control.
+func (b *bench) verifyFrom(entry int, server string) {
+	b.attempts++
+	verify := pool.Ask{
+		Attempt: b.attempts, Entry: fmt.Sprintf("e%d", entry), Domain: fmt.Sprintf("d%d", entry%benchDomains), Idempotent: true,
+		Verify: server, Number: 1, Deadline: b.now.Add(benchDeadline),
+	}
+	b.attempts++
+	control := verify
+	control.Attempt, control.Verify, control.Number, control.Hedge, control.Exclude = b.attempts, "", 2, true, []string{server}
+	granted := b.askCopy(entry, verify)
+	if granted {
+		b.askCopy(entry, control)
+	}
+}
+
+func (b *bench) askCopy(entry int, ask pool.Ask) (granted bool) {
+	b.policy.ask(b.now, ask, func(d pool.Decision) {
+		granted = d.Verdict == pool.Granted
+		if granted {
+			b.sendCopy(entry, pool.Report{Attempt: ask.Attempt, Server: d.Server, Entry: ask.Entry, Domain: ask.Domain}, d)
+		}
+	})
+	return granted
+}
+
+// sendCopy runs a verification, which is cancelled once its answer would be too late to clear the server.
+func (b *bench) sendCopy(entry int, report pool.Report, d pool.Decision) {
+	s := b.server(d.Server)
+	if s.name == b.sick {
+		b.sickWork++
+	}
+	started, open := b.now, true
+	s.active++
+	end := func(outcome pool.Outcome) {
+		if !open {
+			return
+		}
+		open = false
+		s.active--
+		report.Outcome = outcome
+		if outcome == pool.Answered {
+			report.FirstByte = b.now.Sub(started)
+		}
+		b.report(report)
+	}
+	if outcome, length := b.fate(s, entry%benchDomains); length > 0 {
+		b.after(length, func() { end(outcome) })
+	}
+	silence := d.SuspectAt.Sub(b.now)
+	b.after(silence, func() {
+		if open {
+			overdue := report
+			overdue.Overdue = true
+			b.report(overdue)
+		}
+	})
+	b.after(pool.LateFactor*silence, func() { end(pool.Canceled) })
+}
+
 // fate decides how an attempt ends; no length means that it stalls.
 func (b *bench) fate(s *benchServer, domain int) (pool.Outcome, time.Duration) {
 	work := time.Duration(float64(benchWork) * b.slowness * math.Exp(0.4*b.random.NormFloat64()))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,7 +143,7 @@
 	daemon.entry = &entry.Entry{
 		Name: s.Name, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: s.Peer, Incarnation: incarnation,
 		Intervals: entry.Intervals{List: time.Duration(s.Intervals.InstanceList), Table: time.Duration(s.Intervals.KeyTable)},
-		Store:     kv, Instances: &instances.Instances{Address: s.Instances}, Prober: daemon.backend,
+		Store:     kv, Instances: &instances.Instances{Address: s.Instances}, Prober: daemon.backend, Replayer: daemon.backend,
 		Rulebook: &configuration.Follower{Store: kv},
 		Log:      daemon.Log, Metrics: registry, Tracer: tracer.Tracer(), Clock: time.Now,
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,7 @@
 	PullRules(ctx context.Context, to Peer, have uint64) (version uint64, text string, err error)
 	TakeTokens(ctx context.Context, to Peer, team string, want int) (granted int, retryAt time.Time, err error)
 	Leaving(ctx context.Context, to Peer) error
+	Verify(ctx context.Context, to Peer, verification Verification) error
 	// Reachable reports whether the peer answered lately or was not tried.
 	Reachable(peer string) bool
 }
@@ -116,6 +117,7 @@
 	Store     Store
 	Instances Instances
 	Prober    Prober
+	Replayer  Replayer
 	Rulebook  RulesSource
 	Log       *zap.Logger
 	Metrics   metrics.Registry
@@ -132,6 +134,8 @@
 	leaving  atomic.Bool
 	lookups  atomic.Uint64
 	initOnce sync.Once
+
+	verifications verifications
 }
 
 // Init fills in what is not set; Run calls it, and tests that do not call Run may.
@@ -159,6 +163,7 @@
 	entry.members.init()
 	entry.rules.wanted = make(chan Peer, 1)
 	entry.keys.wanted = make(chan struct{}, 1)
+	entry.verifications.waiting = make(chan func(context.Context), verifyRoom)
 }
 
 // Rules returns the rules in force and their version; version 0 has none.
@@ -176,7 +181,7 @@
 	var group sync.WaitGroup
 	for _, part := range []func(context.Context){
 		entry.followInstances, entry.followRules, entry.pullRules, entry.followTable,
-		entry.tickHomes, entry.renewGrants, entry.tickKeys,
+		entry.tickHomes, entry.renewGrants, entry.tickKeys, entry.runVerifications,
 	} {
 		group.Go(func() { part(ctx) })
 	}
