Name rules' parts by the version that brought them

Cause (found by reading): parts were stored under their digest alone. An operator who published a version without some part deleted it afterwards; when another operator brought the same lines back before that deletion, the deletion took a part of the version in force. No instance could load that version any more: accepted and never in force. Reading back and storing again before the deletion did not help, as the deletion may come at any time. Change: a part's name is its digest and the version that brought it; names are taken over from the version before only. A name that no version in force uses is never used again, so its deletion is safe at any time. An operator who loses a race now deletes the parts stored in vain. Before: TestDroppedPartsMayComeBack fails (part missing).

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -1,7 +1,8 @@
 // Package configuration keeps the rules text and its version in the platform's store.
 //
-// The text is cut into parts, each stored under its digest, so that a change moves only what changed
-// and each value stays small. A head names the parts of the version in force and changes by compare-and-swap.
+// The text is cut into parts, each stored under its digest and the version that brought it, so that a change moves only
+// what changed and each value stays small. A head names the parts of the version in force and changes by
+// compare-and-swap. A part that no version in force names any more is never named again, so it can be deleted at any time.
 package configuration
 
 import (
@@ -11,6 +12,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -67,7 +69,22 @@
 	ChangedBy string
 	ChangedAt time.Time
 	Revision  uint64 // of the head in the store
-	parts     []string
+	parts     []part
+}
+
+// part is a piece of a version's text.
+type part struct {
+	name string // digest, a hyphen and the version that brought it
+	text string
+}
+
+// names returns the names of the version's parts, in order.
+func (version *Version) names() []string {
+	names := make([]string, len(version.parts))
+	for i, p := range version.parts {
+		names[i] = p.name
+	}
+	return names
 }
 
 // Store is the part of the platform's store that configuration uses.
@@ -103,42 +120,47 @@
 	if message.GetVersion() == 0 || len(message.GetParts()) > mostParts {
 		return nil, &Error{Op: "load", Kind: KindInvalid, Err: errors.New("head without a version or with too many parts")}
 	}
+	version := &Version{
+		Number: message.GetVersion(), ChangedBy: message.GetChangedBy(),
+		ChangedAt: time.Unix(0, message.GetChangedUnixNanos()), Revision: revision,
+	}
 	texts := knownParts(known)
-	text := strings.Builder{}
-	for _, digest := range message.GetParts() {
-		part, found := texts[digest]
+	whole := strings.Builder{}
+	for _, name := range message.GetParts() {
+		text, found := texts[name]
 		if !found {
 			var err error
-			if part, err = loadPart(ctx, store, digest); err != nil {
+			if text, err = loadPart(ctx, store, name); err != nil {
 				return nil, err
 			}
 		}
-		text.WriteString(part)
+		version.parts = append(version.parts, part{name, text})
+		whole.WriteString(text)
 	}
-	return &Version{
-		Number: message.GetVersion(), Text: text.String(), ChangedBy: message.GetChangedBy(),
-		ChangedAt: time.Unix(0, message.GetChangedUnixNanos()), Revision: revision, parts: message.GetParts(),
-	}, nil
+	version.Text = whole.String()
+	return version, nil
 }
 
+// knownParts returns the texts of a version's parts by name.
 func knownParts(known *Version) map[string]string {
 	texts := map[string]string{}
 	if known == nil {
 		return texts
 	}
-	for _, part := range split(known.Text) {
-		texts[digestOf(part)] = part
+	for _, p := range known.parts {
+		texts[p.name] = p.text
 	}
 	return texts
 }
 
-func loadPart(ctx context.Context, store Reader, digest string) (string, error) {
-	value, revision, err := store.Get(ctx, partPrefix+digest)
+func loadPart(ctx context.Context, store Reader, name string) (string, error) {
+	value, revision, err := store.Get(ctx, partPrefix+name)
 	if err != nil {
 		return "", &Error{Op: "load", Kind: KindAway, Err: err}
 	}
+	digest, _, _ := strings.Cut(name, "-")
 	if revision == 0 || digestOf(string(value)) != digest {
-		return "", &Error{Op: "load", Kind: KindInvalid, Err: fmt.Errorf("part %s is missing or damaged", digest)}
+		return "", &Error{Op: "load", Kind: KindInvalid, Err: fmt.Errorf("part %s is missing or damaged", name)}
 	}
 	return string(value), nil
 }
@@ -161,14 +183,14 @@
 		return nil, conflict(current, base)
 	}
 	next := &Version{Number: base + 1, Text: text, ChangedBy: operator, ChangedAt: now}
-	if err := storeParts(ctx, store, next); err != nil {
+	if err := storeParts(ctx, store, current, next); err != nil {
 		return nil, err
 	}
 	if err := swapHead(ctx, store, current, next); err != nil {
-		return nil, err
-	}
-	// The head names parts that a racing operator may have dropped in between.
-	if err := storeParts(ctx, store, next); err != nil {
+		var failed *Error
+		if errors.As(err, &failed) && failed.Kind == KindConflict {
+			dropParts(ctx, store, next, failed.Current)
+		}
 		return nil, err
 	}
 	dropParts(ctx, store, current, next)
@@ -181,20 +203,28 @@
 		current.Number, current.ChangedAt.UTC().Format(time.RFC3339), current.ChangedBy, base)}
 }
 
-func storeParts(ctx context.Context, store Store, version *Version) error {
-	version.parts = nil
-	for _, part := range split(version.Text) {
-		version.parts = append(version.parts, digestOf(part))
-		if err := storePart(ctx, store, part); err != nil {
-			return &Error{Op: "publish", Kind: KindAway, Err: err}
+// storeParts cuts the text into parts and stores those that the version before does not have.
+func storeParts(ctx context.Context, store Store, current, next *Version) error {
+	names := map[string]string{}
+	for _, p := range current.parts {
+		names[p.text] = p.name
+	}
+	for _, text := range split(next.Text) {
+		name, kept := names[text]
+		if !kept {
+			name = digestOf(text) + "-" + strconv.FormatUint(next.Number, 10)
+			if err := storePart(ctx, store, name, text); err != nil {
+				return &Error{Op: "publish", Kind: KindAway, Err: err}
+			}
 		}
+		next.parts = append(next.parts, part{name, text})
 	}
 	return nil
 }
 
 // storePart writes a part unless it is there; after a lost reply it looks again.
-func storePart(ctx context.Context, store Store, part string) error {
-	key := partPrefix + digestOf(part)
+func storePart(ctx context.Context, store Store, name, text string) error {
+	key := partPrefix + name
 	var cause error
 	for range settleTries {
 		_, revision, err := store.Get(ctx, key)
@@ -202,7 +232,7 @@
 			return nil
 		}
 		if err == nil {
-			_, err = store.CompareAndSwap(ctx, key, 0, []byte(part))
+			_, err = store.CompareAndSwap(ctx, key, 0, []byte(text))
 		}
 		if err == nil || isConflict(err) {
 			return nil
@@ -215,7 +245,7 @@
 // swapHead writes the head; when the reply is lost it reads back what became of the write.
 func swapHead(ctx context.Context, store Store, current, next *Version) error {
 	value, err := proto.Marshal(&wire.RulesHead{
-		Version: next.Number, Parts: next.parts, ChangedBy: next.ChangedBy, ChangedUnixNanos: next.ChangedAt.UnixNano(),
+		Version: next.Number, Parts: next.names(), ChangedBy: next.ChangedBy, ChangedUnixNanos: next.ChangedAt.UnixNano(),
 	})
 	if err != nil {
 		return &Error{Op: "publish", Kind: KindInvalid, Err: err}
@@ -230,7 +260,7 @@
 		if err != nil {
 			continue
 		}
-		if found.Number == next.Number && found.ChangedAt.Equal(next.ChangedAt) && slices.Equal(found.parts, next.parts) {
+		if found.Number == next.Number && found.ChangedAt.Equal(next.ChangedAt) && slices.Equal(found.names(), next.names()) {
 			next.Revision = found.Revision
 			return nil
 		}
@@ -241,11 +271,13 @@
 	return &Error{Op: "publish", Kind: KindAway, Err: fmt.Errorf("it is not known whether version %d came into force: %w", next.Number, cause)}
 }
 
-// dropParts removes the parts that only the earlier version names; what stays behind is harmless.
-func dropParts(ctx context.Context, store Store, earlier, next *Version) {
-	for _, digest := range earlier.parts {
-		if !slices.Contains(next.parts, digest) {
-			_ = store.Delete(ctx, partPrefix+digest)
+// dropParts removes the parts that a version which is not in force names and the one in force does not; what stays
+// behind is harmless.
+func dropParts(ctx context.Context, store Store, gone, inForce *Version) {
+	kept := knownParts(inForce)
+	for _, p := range gone.parts {
+		if _, found := kept[p.name]; !found {
+			_ = store.Delete(ctx, partPrefix+p.name)
 		}
 	}
 }
