Let servers start cold, and give verifications their own budget

Its slowness was judged like a warm server's, and each ejection kept it cold. Change: slowness does not count against a server that joined, or answers again after it refused connections, for a minute or until ten answers in time in a row. Copies from two other domains with ten times the patience tell a slow one from a stalling one; an answer clears it, two silences end the patience. Copies may take a slot that slow start keeps from callers.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -1,20 +1,21 @@
 package pool
 
-// Retry budget: tokens that first attempts earn and further ones spend.
+// Budgets: tokens that first attempts earn, and that retries, hedges and verifications spend.
 const (
-	budgetEarned = 0.2 // per first attempt
+	budgetEarned = 0.2 // per first attempt, for retries and hedges
 	budgetMost   = 20.0
 	hedgeMost    = budgetMost / 2 // hedges leave the other half to retries
-	verifyMost   = 6.0            // verifications leave the rest to hedges
+	verifyEarned = 0.1            // per first attempt, for verifications
+	verifyMost   = 8.0
 )
 
-// budget bounds retries and hedges to a share of the first attempts; the zero value is full.
+// budget bounds further attempts to a share of the first ones; the zero value is full.
 type budget struct {
 	spent float64
 }
 
-func (budget *budget) earn() {
-	budget.spent = max(0, budget.spent-budgetEarned)
+func (budget *budget) earn(tokens float64) {
+	budget.spent = max(0, budget.spent-tokens)
 }
 
 // spend takes a token, if that leaves no more than most spent.
--- a/core/pool/choice.go
+++ b/core/pool/choice.go
@@ -54,6 +54,8 @@
 	suspect := s.evidence.overall.value(now) >= suspectScore
 	path := s.evidence.against(now, ask.Domain) >= suspectScore
 	switch {
+	case s.cold(now) && s.verifying > 0:
+		return rankSuspect
 	case !suspect && !path:
 		if pool.triedDomain(ask, s) {
 			return rankTried
--- a/core/pool/ejection.go
+++ b/core/pool/ejection.go
@@ -137,6 +137,7 @@
 	s.ejections++
 	s.phase = ejected
 	s.until = now.Add(ejectionLength(s.ejections))
+	s.coldUntil = now
 	s.evidence.clear()
 }
 
@@ -172,9 +173,13 @@
 		return
 	}
 	if !healthy {
+		s.down = true
 		pool.eject(now, s)
 		return
 	}
+	if s.down {
+		s.startCold(now)
+	}
 	s.phase, s.until, s.trials = trial, now.Add(trialDeadline), trialRequests
 	pool.serveWaiters(now)
 }
--- a/core/pool/evidence.go
+++ b/core/pool/evidence.go
@@ -28,6 +28,7 @@
 	retractShare      = 0.8  // of the evidence of an answer that was a little late
 	sameEntryWeight   = 0.25 // a repeated failure from one entry instance
 	reusedWeight      = 0.25 // a failure on a reused connection
+	patientWeight     = 1.5  // a silence beyond the patience with a cold start
 )
 
 // rate counts events and failures with exponential decay.
--- a/core/pool/measure_test.go
+++ b/core/pool/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -160,3 +161,71 @@
 		})
 	}
 }
+
+// TestMeasureColdStart has a server join its pool cold, restart in place, or join and stall, and checks that a cold one is not
+// ejected and gets its share once it is warm, and that one that stalls is ejected within a few seconds.
+func TestMeasureColdStart(t *testing.T) {
+	for _, s := range deployments {
+		t.Run(strings.ReplaceAll(s.name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			joined, share := coldStart(s, noFault, 0)
+			test.Eq(t, 0, joined.ejections, test.Sprint("ejections of a server that joined cold"))
+			restarted, shareAgain := coldStart(s, noFault, 3*time.Second)
+			test.LessEq(t, coldRuns, restarted.ejections, test.Sprint("ejections of a server that was down once"))
+			stalled, _ := coldStart(s, stall, 0)
+			test.Eq(t, 0, stalled.undetected)
+			test.Less(t, 5*time.Second, stalled.at(1))
+			for _, m := range []*coldMeasure{&joined, &restarted, &stalled} {
+				test.Eq(t, 0, m.missed, test.Sprint("requests lost"))
+			}
+			test.GreaterEq(t, 0.8, min(share, shareAgain), test.Sprint("share of the work in the last half minute"))
+			t.Logf("%-18s joined: %d ejections, %.0f %% of its share; restarted: %d, %.0f %%; stalling: ejected after %s at the median, %s at most",
+				s.name, joined.ejections, 100*share, restarted.ejections, 100*shareAgain, stalled.at(0.5), stalled.at(1))
+		})
+	}
+}
+
+const coldRuns = 10
+
+type coldMeasure struct {
+	measured
+	ejections int
+}
+
+// coldStart has a server be down for a while, or join anew when it is not, and start cold with a fault.
+func coldStart(s service, f fault, down time.Duration) (m coldMeasure, share float64) {
+	for seed := range uint64(coldRuns) {
+		var p *pooled
+		b := newBench(seed, s.servers, s.slots, func(b *bench) policy {
+			p = newPooled(s.ejection)(b).(*pooled)
+			return p
+		})
+		b.arrivals(float64(s.servers), faultWarmup+faultLength)
+		b.run(faultWarmup)
+		b.answered, b.late, b.failed, b.ejections = 0, 0, 0, 0
+		started := b.servers[0]
+		b.sick = started.name
+		if down > 0 {
+			started.fault = refuse
+			b.run(down)
+		} else {
+			members := benchMembers(b)
+			members[0].Address = netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(len(members)+1))
+			p.pool.SetServers(b.now, members)
+		}
+		started.fault, started.cold = f, coldRequests
+		began := b.now
+		b.run(faultLength/2 - down)
+		b.sickWork = 0
+		b.run(faultLength / 2)
+		share += float64(b.sickWork) / (faultLength / 2).Seconds() / coldRuns
+		m.ejections += b.ejections
+		m.missed += b.late + b.failed
+		if b.detectedAt.IsZero() {
+			m.undetected++
+		} else {
+			m.detection = append(m.detection, b.detectedAt.Sub(began))
+		}
+	}
+	return m, share
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -89,21 +89,23 @@
 //
 // A Pool is not safe for concurrent use.
 type Pool struct {
-	policy     Policy
-	servers    []*server
-	grants     map[uint64]grant
-	teams      map[string]int // requests in flight by team
-	waiters    []waiter
-	ready      []Decision
-	budget     budget
-	rate       limit.Bucket
-	baseline   rate // events of all servers
-	vantages   vantages
-	quarantine quarantine.Quarantine
-	ended      recent
-	suspectIn  time.Duration // silence before the first byte that makes a server suspect
-	born       time.Time
-	lastTick   time.Time
+	policy  Policy
+	servers []*server
+	grants  map[uint64]grant
+	teams   map[string]int // requests in flight by team
+	waiters []waiter
+	ready   []Decision
+	budget  budget // of retries and hedges
+	rate    limit.Bucket
+
+	verifyBudget budget
+	baseline     rate // events of all servers
+	vantages     vantages
+	quarantine   quarantine.Quarantine
+	ended        recent
+	suspectIn    time.Duration // silence before the first byte that makes a server suspect
+	born         time.Time
+	lastTick     time.Time
 }
 
 // recent remembers the latest attempts that ended, so that a renewal that was under way does not bring them back.
@@ -131,6 +133,7 @@
 	fingerprint uint64
 	overdue     bool
 	verifies    bool // sent to a suspect to confirm or clear it
+	patient     bool // the time of suspicion is that of a cold start
 }
 
 // SetPolicy replaces the policy.
@@ -156,6 +159,7 @@
 			s = &server{}
 			if !first {
 				s.startRamp(now)
+				s.startCold(now)
 			}
 		}
 		member.Leaving = member.Leaving || s.member.Leaving
@@ -208,7 +212,8 @@
 		if granted, retryAt := pool.rate.Take(now, pool.policy.Limit, 1); granted == 0 {
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
 		}
-		pool.budget.earn()
+		pool.budget.earn(budgetEarned)
+		pool.verifyBudget.earn(verifyEarned)
 	} else if !pool.budget.spend(mostFor(ask.Hedge)) {
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(budgetRetry)}
 	}
@@ -235,6 +240,7 @@
 func (pool *Pool) grant(now time.Time, ask *Ask, s *server, r rank) Decision {
 	g := grant{
 		server: s, team: ask.Team, grantedAt: now, expires: now.Add(leaseLength), verifies: r == rankVerify, fingerprint: ask.Fingerprint,
+		patient: ask.Verify != "" && s.cold(now),
 	}
 	pool.grants[ask.Attempt] = g
 	s.inFlight++
@@ -250,10 +256,14 @@
 }
 
 func (pool *Pool) describe(now time.Time, attempt uint64, g grant) Decision {
+	silence := pool.suspectIn
+	if g.patient {
+		silence *= coldPatience
+	}
 	return Decision{
 		Attempt: attempt, Verdict: Granted,
 		Server: g.server.member.Name, Domain: g.server.member.Domain, Address: g.server.member.Address,
-		SuspectAt: now.Add(pool.suspectIn), Fresh: now.Before(g.server.freshUntil),
+		SuspectAt: now.Add(silence), Fresh: now.Before(g.server.freshUntil),
 	}
 }
 
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -105,7 +105,7 @@
 	switch {
 	case !held:
 	case report.Overdue:
-		g.overdue, g.added = true, added
+		g.overdue, g.added = added > 0, added
 		pool.grants[report.Attempt] = g
 	default:
 		pool.release(now, report.Attempt, g)
@@ -117,6 +117,10 @@
 	s.member.Leaving = s.member.Leaving || report.Leaving
 	pool.noteFingerprint(now, s, report)
 	switch {
+	case report.Overdue && s.cold(now) && !g.patient:
+		s.doubt(now)
+	case report.Overdue && g.patient:
+		return pool.failedCold(now, s, report, g)
 	case report.Overdue:
 		return pool.failed(now, s, report, 1, g)
 	case report.Outcome == Answered:
@@ -147,9 +151,7 @@
 	s.recordFirstByte(report.FirstByte)
 	s.sheds = 0
 	if g.overdue {
-		if report.FirstByte < LateFactor*pool.suspectIn {
-			s.evidence.retract(now, report.Domain, g.added)
-		}
+		pool.answeredLate(now, s, report, g)
 		return
 	}
 	baseline := baselineWithout(now, &pool.baseline, &s.events)
@@ -157,6 +159,9 @@
 	pool.baseline.add(now, 0)
 	s.answeredAt = now
 	s.evidence.succeed(now, report.Domain, baseline)
+	if s.cold(now) {
+		pool.answeredCold(now, s, report)
+	}
 	pool.passTrial(now, s)
 	pool.reconsider(now)
 }
@@ -170,6 +175,7 @@
 	baseline := baselineWithout(now, &pool.baseline, &s.events)
 	s.events.add(now, weight)
 	pool.baseline.add(now, weight)
+	s.down = s.down || report.Outcome == ConnectFailed
 	s.failedAt, s.failedSentAt = now, now
 	if !g.grantedAt.IsZero() {
 		s.failedSentAt = g.grantedAt
@@ -183,6 +189,33 @@
 	return added
 }
 
+// answeredLate takes back the evidence of a silence that an answer has ended.
+func (pool *Pool) answeredLate(now time.Time, s *server, report Report, g grant) {
+	switch {
+	case s.cold(now):
+		s.evidence.clear()
+	case report.FirstByte < LateFactor*pool.suspectIn:
+		s.evidence.retract(now, report.Domain, g.added)
+	}
+}
+
+// answeredCold clears a server in a cold start, as one that answers does not stall.
+func (pool *Pool) answeredCold(now time.Time, s *server, report Report) {
+	s.evidence.clear()
+	if report.FirstByte <= pool.suspectIn {
+		s.warm(now)
+	}
+}
+
+// failedCold adds a silence beyond the patience with a cold start; a second one ends that patience.
+func (pool *Pool) failedCold(now time.Time, s *server, report Report, g grant) float64 {
+	added := pool.failed(now, s, report, patientWeight, g)
+	if s.evidence.overall.value(now) >= quickThreshold {
+		s.coldUntil = now
+	}
+	return added
+}
+
 func (server *server) recordFirstByte(firstByte time.Duration) {
 	if firstByte <= 0 {
 		return
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -7,13 +7,16 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Slow start and load shedding.
+// Cold start, slow start and load shedding.
 const (
 	rampLength   = 10 * time.Second      // from one slot to all after a start or a readmission
 	shedFactor   = 0.7                   // slots in use are cut to this share when the server sheds
 	shedRecovery = time.Second           // for each slot to come back after shedding
 	firstRest    = 20 * time.Millisecond // without work after a refusal, doubled with each in a row
 	longestRest  = 2 * time.Second
+	coldLength   = time.Minute // longest cold start
+	coldPatience = 10          // times the time of suspicion that an answer may take during a cold start
+	warmAnswers  = 10          // in time and in a row that end a cold start
 )
 
 // phase is where a server stands between service and ejection.
@@ -45,6 +48,10 @@
 	sheds         int       // refusals in a row
 	restUntil     time.Time // no work before
 	lastGrant     time.Time
+	coldUntil     time.Time // slowness is no failure before
+	inTime        int       // answers in time in a row while cold
+	doubtedAt     time.Time // latest slowness while cold
+	down          bool      // refused connections or failed a probe since it was last in service
 	freshUntil    time.Time // new connections only until then
 	connected     float64   // estimate of open connections
 	countedAt     time.Time // time of the estimate
@@ -62,6 +69,32 @@
 	server.rampUntil = now.Add(rampLength)
 }
 
+// startCold begins a cold start.
+func (server *server) startCold(now time.Time) {
+	server.coldUntil = now.Add(coldLength)
+	server.inTime = 0
+	server.down = false
+}
+
+// cold reports whether the server has started lately and may be slow for that.
+func (server *server) cold(now time.Time) bool {
+	return now.Before(server.coldUntil)
+}
+
+// doubt notes that a cold server was slow.
+func (server *server) doubt(now time.Time) {
+	server.doubtedAt = now
+	server.inTime = 0
+}
+
+// warm counts an answer in time; enough of them in a row end the cold start.
+func (server *server) warm(now time.Time) {
+	server.inTime++
+	if server.inTime >= warmAnswers {
+		server.coldUntil = now
+	}
+}
+
 // limit returns how many requests the server may run now.
 func (server *server) limit(now time.Time) int {
 	if server.phase == trial {
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -22,6 +22,8 @@
 	benchDeadline = 5 * time.Second
 	benchTick     = 50 * time.Millisecond
 	tryTimeout    = time.Second // of the baselines' attempts
+	coldRequests  = 50          // that a server which has just started runs more slowly
+	coldFactor    = 10          // how many times as long the first of them takes
 )
 
 var benchStart = time.Unix(1_800_000_000, 0)
@@ -83,6 +85,7 @@
 	domain int
 	active int
 	fault  fault
+	cold   int // requests until the server is warm
 }
 
 type timedEvent struct {
@@ -421,6 +424,10 @@
 	if b.random.Float64() < b.tail {
 		work *= 10
 	}
+	if s.cold > 0 {
+		work = time.Duration(float64(work) * (1 + coldFactor*float64(s.cold)/coldRequests))
+		s.cold--
+	}
 	stalled := false
 	switch s.fault {
 	case stall:
