Keep the connection budget by counting, and prove what was open

Cause (found by a new measurement): with 880 entry instances and 250 requests/s for each server, up to 446 connections to one server were open against a budget of 400. The home's estimate decayed exponentially from the start, while a kept connection stays open for its whole idle time; reuse was not seen at all. Change: the home counts the connections that grants left open in this span of the idle time and the one before, less those that a report says were reused: never fewer than are open.

--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -7,10 +7,12 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/entry"
 )
 
@@ -20,6 +22,15 @@
 	values   map[string][]byte
 	revision map[string]uint64
 	onDelete func(key string) // called before a deletion, without the lock
+	down     bool
+}
+
+var errDown = &entry.Error{Op: "call", Kind: entry.KindAway, Err: context.DeadlineExceeded}
+
+func (store *memoryStore) setDown(down bool) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.down = down
 }
 
 func newMemoryStore() *memoryStore {
@@ -29,12 +40,37 @@
 func (store *memoryStore) Get(_ context.Context, key string) ([]byte, uint64, error) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
+	if store.down {
+		return nil, 0, errDown
+	}
 	return store.values[key], store.revision[key], nil
 }
 
+func (store *memoryStore) GetNewer(ctx context.Context, key string, revision uint64) ([]byte, uint64, bool, error) {
+	value, found, err := store.Get(ctx, key)
+	return value, found, found != revision, err
+}
+
+func (store *memoryStore) Watch(ctx context.Context, key string, revision uint64) ([]byte, uint64, error) {
+	for {
+		value, found, err := store.Get(ctx, key)
+		if err != nil || found != revision {
+			return value, found, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
 func (store *memoryStore) CompareAndSwap(_ context.Context, key string, revision uint64, value []byte) (uint64, error) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
+	if store.down {
+		return 0, errDown
+	}
 	if store.revision[key] != revision {
 		return 0, &entry.Error{Op: "swap", Kind: entry.KindConflict}
 	}
@@ -80,3 +116,72 @@
 	must.Eq(t, first, current.Text)
 	must.SliceLen(t, 1, store.parts())
 }
+
+// neighbours are instances that reach each other by calls.
+type neighbours struct {
+	entry.Peers
+	byName map[string]*entry.Entry
+}
+
+func (neighbours) Reachable(string) bool { return true }
+
+func (neighbours neighbours) PullRules(_ context.Context, to entry.Peer, have uint64) (uint64, string, error) {
+	version, text := neighbours.byName[to.Name].HandlePullRules(have)
+	return version, text, nil
+}
+
+// List gives the instance list.
+func (neighbours neighbours) List(context.Context) (instance.List, error) {
+	list := instance.List{AsOf: time.Now()}
+	for _, name := range slices.Sorted(maps.Keys(neighbours.byName)) {
+		list.Entries = append(list.Entries, instance.Entry{Name: name})
+	}
+	return list, nil
+}
+
+func (neighbours neighbours) add(name string, store *memoryStore) *entry.Entry {
+	e := &entry.Entry{
+		Name: name, Peers: neighbours, Store: store, Instances: neighbours, Rulebook: &Follower{Store: store},
+	}
+	e.Init()
+	neighbours.byName[name] = e
+	return e
+}
+
+// TestRulesOutlastHoursWithoutTheStore takes the store away for three hours, in which an instance starts anew.
+func TestRulesOutlastHoursWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		run := func(e *entry.Entry) { running.Go(func() { must.NoError(t, e.Run(ctx)) }) }
+		store, fleet := newMemoryStore(), neighbours{byName: map[string]*entry.Entry{}}
+		old := fleet.add("entry-0", store)
+		run(old)
+		inForce := func(want uint64, entries ...*entry.Entry) {
+			for _, e := range entries {
+				_, version := e.Rules()
+				must.Eq(t, want, version)
+			}
+		}
+		const first = "service a # asked by: x\n"
+		_, err := Publish(ctx, store, "rules", first, "ana", 0, time.Now())
+		must.NoError(t, err)
+		time.Sleep(4 * time.Second)
+		inForce(1, old)
+		store.setDown(true)
+		time.Sleep(time.Hour)
+		fresh := fleet.add("entry-1", store)
+		run(fresh)
+		time.Sleep(4 * time.Second)
+		inForce(1, old, fresh)
+		time.Sleep(2 * time.Hour)
+		inForce(1, old, fresh)
+		store.setDown(false)
+		_, err = Publish(ctx, store, "rules", first+"service b # asked by: y\n", "ben", 1, time.Now())
+		must.NoError(t, err)
+		time.Sleep(4 * time.Second)
+		inForce(2, old, fresh)
+	})
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -18,9 +18,7 @@
 	fullRetryAfter  = time.Second
 	noServerRetry   = 2 * time.Second
 	budgetRetry     = time.Second
-	suspiciousRetry = time.Second     // for a request that crashed one server, while it runs at another
-	connectionTau   = 5 * time.Second // time constant of the estimate of open connections
-	connectionShare = 0.8             // share of a server's connections that grants may use
+	suspiciousRetry = time.Second // for a request that crashed one server, while it runs at another
 )
 
 // Member is a backend server as the instance list shows it.
@@ -251,7 +249,7 @@
 	}
 	s.lastGrant = now
 	decision := pool.describe(now, ask.Attempt, g)
-	decision.Close = !s.keepConnection(now, pool.policy.Connections)
+	decision.Close = !s.connections.keep(now, pool.policy.Connections, s.inFlight)
 	return decision
 }
 
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -102,6 +102,9 @@
 	if s != nil {
 		added = pool.judge(now, s, report, g)
 	}
+	if s != nil && report.Reused && !report.Overdue {
+		s.connections.reused(now)
+	}
 	switch {
 	case !held:
 	case report.Overdue:
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -53,8 +52,7 @@
 	doubtedAt     time.Time // latest slowness while cold
 	down          bool      // refused connections or failed a probe since it was last in service
 	freshUntil    time.Time // new connections only until then
-	connected     float64   // estimate of open connections
-	countedAt     time.Time // time of the estimate
+	connections   connections
 	evidence      evidence
 	answeredAt    time.Time // latest answer in time
 	failedAt      time.Time // latest failure
@@ -134,15 +132,3 @@
 func (server *server) open(now time.Time) bool {
 	return !server.member.Leaving && !now.Before(server.restUntil)
 }
-
-// keepConnection counts a grant's connection and reports whether it may stay open afterwards.
-func (server *server) keepConnection(now time.Time, budget int) bool {
-	age := now.Sub(server.countedAt)
-	server.connected *= math.Exp(-float64(age) / float64(connectionTau))
-	server.countedAt = now
-	if server.connected+float64(server.inFlight) >= connectionShare*float64(budget) {
-		return false
-	}
-	server.connected++
-	return true
-}
--- a/testing/scenario/commands_test.go
+++ b/testing/scenario/commands_test.go
@@ -152,6 +152,7 @@
 var modes = map[string]standin.Mode{
 	"healthy": standin.Healthy, "stalling": standin.Stalling, "slow": standin.Slow, "crashing": standin.Crashing,
 	"shedding": standin.Shedding, "retiring": standin.Retiring, "breaking": standin.Breaking, "dropping": standin.Dropping,
+	"trickling": standin.Trickling,
 }
 
 // cmdMode changes how backend servers behave: mode MODE SERVER...
--- a/testing/standin/backend.go
+++ b/testing/standin/backend.go
@@ -19,19 +19,23 @@
 
 // Modes.
 const (
-	Healthy  Mode = iota
-	Stalling      // answers probes, stalls real work
-	Slow          // takes SlowTime for real work
-	Crashing      // cuts the connection of real work after running it
-	Shedding      // refuses real work unrun
-	Retiring      // works, and says that it is leaving
-	Breaking      // breaks off downloads in the middle
-	Dropping      // cuts the connection of real work before running it
+	Healthy   Mode = iota
+	Stalling       // answers probes, stalls real work
+	Slow           // takes SlowTime for real work
+	Crashing       // cuts the connection of real work after running it
+	Shedding       // refuses real work unrun
+	Retiring       // works, and says that it is leaving
+	Breaking       // breaks off downloads in the middle
+	Dropping       // cuts the connection of real work before running it
+	Trickling      // sends downloads in pieces with TricklePause between them
 )
 
 // SlowTime is how long a Slow server takes.
 const SlowTime = 2 * time.Second
 
+// TricklePause is between two pieces of a Trickling server's download.
+const TricklePause = 500 * time.Millisecond
+
 // chunkBytes is the size of the pieces of a download.
 const chunkBytes = 32 << 10
 
@@ -213,10 +217,34 @@
 // download serves the content with a strong ETag and ranges.
 func (b *Backend) download(w http.ResponseWriter, r *http.Request, mode Mode, content []byte) {
 	w.Header().Set("ETag", `"v1"`)
-	if mode != Breaking {
+	switch mode {
+	case Breaking:
+		breakOff(w, content)
+	case Trickling:
+		trickle(w, r, content)
+	default:
 		http.ServeContent(w, r, "", time.Time{}, strings.NewReader(string(content)))
-		return
 	}
+}
+
+// trickle sends the content piece by piece.
+func trickle(w http.ResponseWriter, r *http.Request, content []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	for sent := 0; sent < len(content); sent += chunkBytes {
+		if _, err := w.Write(content[sent:min(len(content), sent+chunkBytes)]); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(TricklePause):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// breakOff sends half of the content and cuts the connection.
+func breakOff(w http.ResponseWriter, content []byte) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	for sent := 0; sent < len(content)/2; sent += chunkBytes {
 		if _, err := w.Write(content[sent:min(len(content), sent+chunkBytes)]); err != nil {
