Queue by the wait that callers accept, and judge evidence in its order

Change: an ask queues while its expected wait (asks before it, over the slots, times the mean time a slot is held) is within the service's new rule option wait (1 s) and its deadline; otherwise it is refused at once and told to come back after that wait. The queue is a line for each team; a grant no longer scans all that wait. A trace: four silences within 46 ms, reported after the answers to attempts granted later, which had found no evidence to lower.

--- a/control/control.go
+++ b/control/control.go
@@ -301,8 +301,8 @@
 	service := set.Service(route.Service)
 	fmt.Fprintf(control.Out, "%s %s\n", method, path)
 	fmt.Fprintf(control.Out, "  route %s/ (line %d): service %s, deadline %s  # %s\n", route.Prefix, route.Line, route.Service, route.Deadline, route.AskedBy)
-	fmt.Fprintf(control.Out, "  service %s (line %d): floor %.0f%%, slots %d, attempts %d, ejection %s  # %s\n",
-		service.Name, service.Line, 100*service.Floor, service.Slots, service.Attempts, service.Ejection, service.AskedBy)
+	fmt.Fprintf(control.Out, "  service %s (line %d): floor %.0f%%, slots %d, attempts %d, ejection %s, wait %s  # %s\n",
+		service.Name, service.Line, 100*service.Floor, service.Slots, service.Attempts, service.Ejection, service.Wait, service.AskedBy)
 	if route.Idempotent(method) {
 		fmt.Fprintln(control.Out, "  idempotent: may be tried again and hedged")
 	} else {
--- a/core/pool/evidence.go
+++ b/core/pool/evidence.go
@@ -144,6 +144,38 @@
 	return ratio
 }
 
+// offset adds answers in time that came before the failure of an attempt granted earlier than theirs.
+func (evidence *evidence) offset(now time.Time, answers int, baseline float64) {
+	evidence.overall.add(now, float64(answers)*math.Log((1-sickRate)/(1-baseline)))
+}
+
+// recentAnswers remembers when the attempts of the latest answers in time were granted. Answers come sooner than silences are
+// noticed, so those that belong after a failure have come before it, when there was nothing for them to speak against.
+type recentAnswers struct {
+	grantedAt [answersKept]time.Time
+	next      int
+}
+
+// answersKept bounds the answers that can come within the time of suspicion and offset one failure.
+const answersKept = 16
+
+func (recentAnswers *recentAnswers) add(grantedAt time.Time) {
+	recentAnswers.grantedAt[recentAnswers.next] = grantedAt
+	recentAnswers.next = (recentAnswers.next + 1) % answersKept
+}
+
+// takeAfter counts and forgets the answers to attempts granted after a time.
+func (recentAnswers *recentAnswers) takeAfter(at time.Time) int {
+	taken := 0
+	for i, grantedAt := range recentAnswers.grantedAt {
+		if grantedAt.After(at) {
+			recentAnswers.grantedAt[i] = time.Time{}
+			taken++
+		}
+	}
+	return taken
+}
+
 // retract takes back most of what a late answer added before it came.
 func (evidence *evidence) retract(now time.Time, domain string, added float64) {
 	evidence.from(domain).score.add(now, -retractShare*added)
--- a/core/pool/measure_test.go
+++ b/core/pool/measure_test.go
@@ -1,7 +1,6 @@
 package pool_test
 
 import (
-	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -10,6 +9,7 @@
 
 	"github.com/shoenig/test"
 
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
 )
 
@@ -147,8 +147,7 @@
 		t.Run(strings.ReplaceAll(s.name, " ", "-"), func(t *testing.T) {
 			t.Parallel()
 			b := newBench(7, s.servers, s.slots, newPooled(s.ejection))
-			mean := benchWork.Seconds() * math.Exp(0.4*0.4/2) * (1 + 9*b.tail)
-			capacity := float64(s.servers*s.slots) / mean
+			capacity := b.capacity()
 			b.teamArrivals("large", 1.8*capacity, length)
 			b.teamArrivals("small", 0.2*capacity, length)
 			b.run(length)
@@ -162,6 +161,25 @@
 	}
 }
 
+// TestMeasureBurst sends twice what the slots can run for a second and a half to services whose callers rather wait.
+func TestMeasureBurst(t *testing.T) {
+	const length = 1500 * time.Millisecond
+	for _, s := range deployments {
+		t.Run(strings.ReplaceAll(s.name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			b := newBench(7, s.servers, s.slots, newPooled(s.ejection))
+			b.policy.(*pooled).pool.SetPolicy(pool.Policy{Floor: 0.75, Slots: s.slots, Ejection: s.ejection, Wait: 4 * time.Second})
+			b.arrivals(0.3*b.capacity(), 2*length)
+			b.run(length)
+			b.arrivals(1.7*b.capacity(), length)
+			b.run(10 * time.Second)
+			t.Logf("%-18s twice the capacity of %.0f/s for %s: %d answered, %d refused, %d late", s.name, b.capacity(), length, b.answered, b.failed, b.late)
+			test.Eq(t, 0, b.failed+b.late)
+			test.Eq(t, 0, b.ejections)
+		})
+	}
+}
+
 // TestMeasureColdStart has a server join its pool cold, restart in place, or join and stall, and checks that a cold one is not
 // ejected and gets its share once it is warm, and that one that stalls is ejected within a few seconds.
 func TestMeasureColdStart(t *testing.T) {
--- a/core/pool/options.go
+++ b/core/pool/options.go
@@ -1,6 +1,10 @@
 package pool
 
-import "github.com/sequoiaspan/sequoiaspan/core/rules"
+import (
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/rules"
+)
 
 // Policy is the part of a service rule that a pool follows.
 type Policy struct {
@@ -8,14 +12,15 @@
 	Slots       int
 	Connections int
 	Ejection    rules.Ejection
-	Limit       float64 // requests per second over the slice, 0 for none
+	Limit       float64       // requests per second over the slice, 0 for none
+	Wait        time.Duration // longest wait for a slot
 }
 
 // PolicyOf returns the policy of a service rule whose backend servers form this many slices.
 func PolicyOf(service *rules.Service, slices int) Policy {
 	return Policy{
 		Floor: service.Floor, Slots: service.Slots, Connections: service.Connections,
-		Ejection: service.Ejection, Limit: service.Limit / float64(max(1, slices)),
+		Ejection: service.Ejection, Limit: service.Limit / float64(max(1, slices)), Wait: service.Wait,
 	}
 }
 
@@ -26,6 +31,9 @@
 	if policy.Slots <= 0 {
 		policy.Slots = rules.DefaultSlots
 	}
+	if policy.Wait <= 0 {
+		policy.Wait = rules.DefaultWait
+	}
 	if policy.Connections <= 0 {
 		policy.Connections = rules.DefaultConnections
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -13,10 +13,6 @@
 // Timing and sizing of grants.
 const (
 	leaseLength     = 20 * time.Second // a grant not renewed for this long is free again
-	waiterLimit     = 512              // queued asks of one slice
-	queueDepth      = 4                // queued asks for each slot
-	fullRetryAfter  = time.Second
-	noServerRetry   = 2 * time.Second
 	budgetRetry     = time.Second
 	suspiciousRetry = time.Second // for a request that crashed one server, while it runs at another
 )
@@ -87,14 +83,15 @@
 //
 // A Pool is not safe for concurrent use.
 type Pool struct {
-	policy  Policy
-	servers []*server
-	grants  map[uint64]grant
-	teams   map[string]int // requests in flight by team
-	waiters []waiter
-	ready   []Decision
-	budget  budget // of retries and hedges
-	rate    limit.Bucket
+	policy   Policy
+	servers  []*server
+	grants   map[uint64]grant
+	teams    map[string]int // requests in flight by team
+	queue    queue
+	meanHeld time.Duration // for which a slot is held
+	ready    []Decision
+	budget   budget // of retries and hedges
+	rate     limit.Bucket
 
 	verifyBudget budget
 	baseline     rate // events of all servers
@@ -194,7 +191,7 @@
 	if g, found := pool.grants[ask.Attempt]; found {
 		return pool.describe(now, ask.Attempt, g)
 	}
-	if pool.waits(ask.Attempt) {
+	if pool.queue.has(ask.Attempt) {
 		return Decision{Attempt: ask.Attempt, Verdict: Queued}
 	}
 	if until, found := pool.quarantine.Until(now, ask.Fingerprint); found {
@@ -215,7 +212,7 @@
 	} else if !pool.budget.spend(mostFor(ask.Hedge)) {
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(budgetRetry)}
 	}
-	if len(pool.waiters) > 0 && !ask.Hedge {
+	if pool.queue.len() > 0 && !ask.Hedge {
 		return pool.enqueue(now, ask)
 	}
 	if s, r := pool.choose(now, &ask); s != nil {
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -1,14 +1,98 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// waiter is a queued ask.
-type waiter struct {
-	ask   Ask
-	since time.Time
+// Queueing for slots.
+const (
+	queueMost      = 16_384 // queued asks of one slice
+	fullRetryAfter = time.Second
+	noServerRetry  = 2 * time.Second
+	holdShare      = 1.0 / 32 // weight of the latest attempt in the mean time that a slot is held
+)
+
+// queue holds the asks that wait for a slot, in a line for each team; the zero value is empty.
+type queue struct {
+	lines    []line              // of the teams that wait, in the order in which they came
+	attempts map[uint64]struct{} // queued attempts
+}
+
+// line is the queue of one team, the longest waiting ask first.
+type line struct {
+	team string
+	asks []Ask
+}
+
+func (queue *queue) len() int { return len(queue.attempts) }
+
+// has reports whether an attempt is queued.
+func (queue *queue) has(attempt uint64) bool {
+	_, found := queue.attempts[attempt]
+	return found
+}
+
+// lineOf returns the index of a team's line, or -1.
+func (queue *queue) lineOf(team string) int {
+	return slices.IndexFunc(queue.lines, func(l line) bool { return l.team == team })
 }
 
-// enqueue queues an ask until its deadline, or refuses it at once.
+func (queue *queue) add(ask Ask) {
+	if queue.attempts == nil {
+		queue.attempts = map[uint64]struct{}{}
+	}
+	queue.attempts[ask.Attempt] = struct{}{}
+	i := queue.lineOf(ask.Team)
+	if i < 0 {
+		i = len(queue.lines)
+		queue.lines = append(queue.lines, line{team: ask.Team})
+	}
+	queue.lines[i].asks = append(queue.lines[i].asks, ask)
+}
+
+// remove takes an ask out of a line, and drops the line with its last one.
+func (queue *queue) remove(i, j int) Ask {
+	l := &queue.lines[i]
+	ask := l.asks[j]
+	delete(queue.attempts, ask.Attempt)
+	if j == 0 {
+		l.asks[0] = Ask{}
+		l.asks = l.asks[1:]
+	} else {
+		l.asks = slices.Delete(l.asks, j, j+1)
+	}
+	if len(l.asks) == 0 {
+		queue.lines = slices.Delete(queue.lines, i, i+1)
+	}
+	return ask
+}
+
+// withdraw takes an attempt out.
+func (queue *queue) withdraw(attempt uint64) {
+	if !queue.has(attempt) {
+		return
+	}
+	for i := range queue.lines {
+		if j := slices.IndexFunc(queue.lines[i].asks, func(a Ask) bool { return a.Attempt == attempt }); j >= 0 {
+			queue.remove(i, j)
+			return
+		}
+	}
+}
+
+// largest returns the line with the most asks, or -1.
+func (queue *queue) largest() int {
+	found := -1
+	for i := range queue.lines {
+		if found < 0 || len(queue.lines[i].asks) > len(queue.lines[found].asks) {
+			found = i
+		}
+	}
+	return found
+}
+
+// enqueue queues an ask that will likely get its slot in time, or refuses it at once.
 func (pool *Pool) enqueue(now time.Time, ask Ask) Decision {
 	refused := Decision{Attempt: ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)}
 	if !pool.anyInService() {
@@ -19,16 +103,51 @@
 		refused.RetryAt = restUntil
 		return refused
 	}
-	if ask.Hedge || !now.Before(ask.Deadline) {
+	if ask.Hedge || now.Add(pool.held()).After(ask.Deadline) {
 		return refused
 	}
-	if len(pool.waiters) >= pool.queueLimit() && !pool.displace(now, ask.Team) {
+	if wait := pool.expectedWait(); pool.tooLong(now, wait, &ask) && !pool.displace(now, ask.Team) {
+		refused.RetryAt = now.Add(max(fullRetryAfter, wait))
 		return refused
 	}
-	pool.waiters = append(pool.waiters, waiter{ask, now})
+	pool.queue.add(ask)
 	return Decision{Attempt: ask.Attempt, Verdict: Queued}
 }
 
+// expectedWait returns how long the last one in the queue will wait: the time in which the slots in service turn over for
+// all before it.
+func (pool *Pool) expectedWait() time.Duration {
+	slots := 0
+	for _, s := range pool.servers {
+		if s.phase == inService && !s.member.Leaving {
+			slots += s.slots
+		}
+	}
+	return time.Duration(float64(pool.queue.len()+1) / float64(max(1, slots)) * float64(pool.held()))
+}
+
+// held returns the mean time for which a slot is held.
+func (pool *Pool) held() time.Duration {
+	if pool.meanHeld <= 0 {
+		return coldSuspectIn
+	}
+	return pool.meanHeld
+}
+
+// noteHeld takes in how long an attempt held its slot.
+func (pool *Pool) noteHeld(length time.Duration) {
+	if pool.meanHeld <= 0 {
+		pool.meanHeld = length
+		return
+	}
+	pool.meanHeld += time.Duration(holdShare * float64(length-pool.meanHeld))
+}
+
+// tooLong reports whether a wait is beyond what the service's rule allows or leaves an ask no time to be answered.
+func (pool *Pool) tooLong(now time.Time, wait time.Duration, ask *Ask) bool {
+	return wait > pool.policy.Wait || pool.queue.len() >= queueMost || now.Add(wait+pool.held()).After(ask.Deadline)
+}
+
 // allRest reports whether every server in service refuses work for load, and until when.
 func (pool *Pool) allRest(now time.Time) (time.Time, bool) {
 	earliest := time.Time{}
@@ -46,48 +165,29 @@
 	return earliest, !earliest.IsZero()
 }
 
-// queueLimit bounds the wait in the queue to the time of a few requests.
-func (pool *Pool) queueLimit() int {
-	slots := 0
-	for _, s := range pool.servers {
-		if s.phase == inService && !s.member.Leaving {
-			slots += s.slots
-		}
-	}
-	return min(waiterLimit, queueDepth*slots)
-}
-
 func (pool *Pool) anyInService() bool {
-	for _, s := range pool.servers {
-		if s.phase == inService && !s.member.Leaving {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(pool.servers, func(s *server) bool { return s.phase == inService && !s.member.Leaving })
 }
 
 // serveWaiters grants queued asks while slots are free.
 func (pool *Pool) serveWaiters(now time.Time) {
-	for len(pool.waiters) > 0 {
-		i := pool.nextWaiter()
-		ask := pool.waiters[i].ask
+	for pool.queue.len() > 0 {
+		i := pool.nextLine()
+		ask := pool.queue.lines[i].asks[0]
 		s, r := pool.choose(now, &ask)
 		if s == nil {
 			return
 		}
-		pool.removeWaiter(i)
+		pool.queue.remove(i, 0)
 		pool.ready = append(pool.ready, pool.grant(now, &ask, s, r))
 	}
 }
 
-// nextWaiter returns the longest waiting ask of the team with the fewest requests in flight.
-func (pool *Pool) nextWaiter() int {
-	if len(pool.waiters) == 1 {
-		return 0
-	}
+// nextLine returns the line of the team with the fewest requests in flight.
+func (pool *Pool) nextLine() int {
 	best := 0
-	for i := range pool.waiters {
-		if pool.teams[pool.waiters[i].ask.Team] < pool.teams[pool.waiters[best].ask.Team] {
+	for i := range pool.queue.lines {
+		if pool.teams[pool.queue.lines[i].team] < pool.teams[pool.queue.lines[best].team] {
 			best = i
 		}
 	}
@@ -96,28 +196,25 @@
 
 // displace makes room in a full queue for a team with fewer waiters than another: the other's latest is refused.
 func (pool *Pool) displace(now time.Time, team string) bool {
-	waiting := make(map[string]int, 8)
-	largest := team
-	for i := range pool.waiters {
-		other := pool.waiters[i].ask.Team
-		waiting[other]++
-		if waiting[other] > waiting[largest] {
-			largest = other
-		}
-	}
-	if waiting[largest] <= waiting[team]+1 {
+	largest := pool.queue.largest()
+	if largest < 0 {
 		return false
 	}
-	for i := len(pool.waiters) - 1; i >= 0; i-- {
-		if pool.waiters[i].ask.Team != largest {
-			continue
-		}
-		refused := Decision{Attempt: pool.waiters[i].ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)}
-		pool.removeWaiter(i)
-		pool.ready = append(pool.ready, refused)
-		return true
+	own := 0
+	if i := pool.queue.lineOf(team); i >= 0 {
+		own = len(pool.queue.lines[i].asks)
+	}
+	last := len(pool.queue.lines[largest].asks) - 1
+	if last <= own {
+		return false
 	}
-	return false
+	pool.refuse(now, pool.queue.remove(largest, last))
+	return true
+}
+
+// refuse ends the wait of an ask.
+func (pool *Pool) refuse(now time.Time, ask Ask) {
+	pool.ready = append(pool.ready, Decision{Attempt: ask.Attempt, Verdict: Full, RetryAt: now.Add(max(fullRetryAfter, pool.expectedWait()))})
 }
 
 // hold counts a team's requests in flight.
@@ -128,32 +225,19 @@
 	}
 }
 
-func (pool *Pool) removeWaiter(i int) {
-	pool.waiters = append(pool.waiters[:i], pool.waiters[i+1:]...)
-}
-
 // expireWaiters refuses the asks whose wait is over.
 func (pool *Pool) expireWaiters(now time.Time) {
-	kept := pool.waiters[:0]
-	for _, w := range pool.waiters {
-		if now.Before(w.ask.Deadline) {
-			kept = append(kept, w)
-			continue
+	for i := len(pool.queue.lines) - 1; i >= 0; i-- {
+		for j := len(pool.queue.lines[i].asks) - 1; j >= 0; j-- {
+			if !now.Before(pool.queue.lines[i].asks[j].Deadline) {
+				pool.refuse(now, pool.queue.remove(i, j))
+			}
 		}
-		pool.ready = append(pool.ready, Decision{Attempt: w.ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)})
 	}
-	pool.waiters = kept
 }
 
 // Withdraw drops a queued ask whose caller has gone.
-func (pool *Pool) Withdraw(attempt uint64) {
-	for i := range pool.waiters {
-		if pool.waiters[i].ask.Attempt == attempt {
-			pool.removeWaiter(i)
-			return
-		}
-	}
-}
+func (pool *Pool) Withdraw(attempt uint64) { pool.queue.withdraw(attempt) }
 
 // Next returns the decision of an ask that was queued before.
 func (pool *Pool) Next() (Decision, bool) {
@@ -165,16 +249,6 @@
 	return decision, true
 }
 
-// waits reports whether an attempt is queued.
-func (pool *Pool) waits(attempt uint64) bool {
-	for i := range pool.waiters {
-		if pool.waiters[i].ask.Attempt == attempt {
-			return true
-		}
-	}
-	return false
-}
-
 // Discard frees a grant that nobody uses.
 func (pool *Pool) Discard(now time.Time, attempt uint64) {
 	if g, found := pool.grants[attempt]; found {
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -111,6 +111,9 @@
 		g.overdue, g.added = added > 0, added
 		pool.grants[report.Attempt] = g
 	default:
+		if report.Outcome == Answered {
+			pool.noteHeld(now.Sub(g.grantedAt))
+		}
 		pool.release(now, report.Attempt, g)
 	}
 }
@@ -161,6 +164,7 @@
 	s.events.add(now, 0)
 	pool.baseline.add(now, 0)
 	s.answeredAt = now
+	s.recentAnswers.add(g.grantedAt)
 	s.evidence.succeed(now, report.Domain, baseline)
 	if s.cold(now) {
 		pool.answeredCold(now, s, report)
@@ -184,6 +188,7 @@
 		s.failedSentAt = g.grantedAt
 	}
 	added := s.evidence.fail(now, report.Domain, report.Entry, weight, baseline)
+	s.evidence.offset(now, s.recentAnswers.takeAfter(s.failedSentAt), baseline)
 	if s.phase == trial {
 		pool.eject(now, s)
 		return 0
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -54,6 +54,7 @@
 	freshUntil    time.Time // new connections only until then
 	connections   connections
 	evidence      evidence
+	recentAnswers recentAnswers
 	answeredAt    time.Time // latest answer in time
 	failedAt      time.Time // latest failure
 	failedSentAt  time.Time // when the attempt of the latest failure was granted
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -128,6 +128,12 @@
 	return b
 }
 
+// capacity returns how many requests a second the slots can run.
+func (b *bench) capacity() float64 {
+	mean := benchWork.Seconds() * math.Exp(0.4*0.4/2) * (1 + 9*b.tail)
+	return float64(len(b.servers)*b.slots) / mean
+}
+
 func (b *bench) server(name string) *benchServer {
 	return b.servers[slices.IndexFunc(b.servers, func(s *benchServer) bool { return s.name == name })]
 }
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -150,7 +150,7 @@
 func (parser *parser) parseService(words []word, asker string) {
 	service := &Service{
 		Floor: DefaultFloor, Slots: DefaultSlots, Connections: DefaultConnections,
-		Attempts: DefaultAttempts, Stall: DefaultStall, AskedBy: asker, Line: parser.line,
+		Attempts: DefaultAttempts, Stall: DefaultStall, Wait: DefaultWait, AskedBy: asker, Line: parser.line,
 	}
 	name, ok := parser.name(words, "service")
 	service.Name = name
@@ -162,6 +162,7 @@
 		"ejection":    func(o option) bool { return parser.ejection(o, &service.Ejection) },
 		"limit":       func(o option) bool { return parser.rate(o, &service.Limit) },
 		"stall":       func(o option) bool { return parser.duration(o, &service.Stall) },
+		"wait":        func(o option) bool { return parser.duration(o, &service.Wait) },
 	}) && ok
 	if !ok {
 		return
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -47,6 +47,7 @@
 	DefaultAttempts    = 3
 	DefaultDeadline    = 30 * time.Second
 	DefaultStall       = 30 * time.Second
+	DefaultWait        = time.Second
 )
 
 // Service is a service rule with its defaults filled in.
@@ -59,6 +60,7 @@
 	Ejection    Ejection
 	Limit       float64       // requests per second, 0 for none
 	Stall       time.Duration // longest silence within an answer's body
+	Wait        time.Duration // longest wait for a slot
 	AskedBy     string
 	Line        int
 }
