Pick the directory's addresses in one pass, the home among them

It ranked by the service's name and not by its slice, so the home was among the eight addresses by chance only, against the comment. Change: one pass keeps the best eight; the rank is that of the service's first slice. TestDirectoryNamesTheHome fails with the former rank.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -24,6 +24,9 @@
 	return slice.Service + "/" + strconv.Itoa(slice.Index)
 }
 
+// Key returns the hash by which instances are ranked for the slice.
+func (slice Slice) Key() uint64 { return xxhash.Sum64String(slice.String()) }
+
 // Slices returns how many slices a service with this many backend servers has.
 func Slices(servers int) int {
 	return max(1, (servers+SliceServers-1)/SliceServers)
@@ -59,7 +62,7 @@
 // It ranks by highest random weight (Thaler and Ravishankar, 1998), so that a change of one
 // instance moves only the slices of that instance. Without a second domain the deputy is the next.
 func Choose(slice Slice, candidates []Candidate) (first, deputy int) {
-	key := xxhash.Sum64String(slice.String())
+	key := slice.Key()
 	first = best(key, candidates, func(int) bool { return true })
 	if first < 0 {
 		return -1, -1
@@ -75,7 +78,7 @@
 // Vantages returns the indices of up to count instances from which a slice's servers are seen beside one of a failure
 // domain: the slice's highest ranked one of each other domain, among them its home and deputy, and then others.
 func Vantages(slice Slice, candidates []Candidate, from instance.Entry, count int) []int {
-	key := xxhash.Sum64String(slice.String())
+	key := slice.Key()
 	var chosen []int
 	taken := func(i int) bool {
 		return candidates[i].Entry.Name == from.Name || slices.Contains(chosen, i)
@@ -100,13 +103,16 @@
 func best(key uint64, candidates []Candidate, allowed func(int) bool) int {
 	found, score := -1, uint64(0)
 	for i := range candidates {
-		if s := Weight(key, candidates[i].hash); allowed(i) && (found < 0 || s > score) {
+		if s := candidates[i].Weight(key); allowed(i) && (found < 0 || s > score) {
 			found, score = i, s
 		}
 	}
 	return found
 }
 
+// Weight returns the candidate's score for a key's hash.
+func (candidate *Candidate) Weight(key uint64) uint64 { return Weight(key, candidate.hash) }
+
 // Weight mixes a key's hash with a member's into the member's score for the key.
 func Weight(key, member uint64) uint64 {
 	x := key ^ member*0x9e3779b97f4a7c15
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -6,17 +6,14 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
 )
 
 // Directory answers.
 const (
-	KeepLength     = 5 * time.Second // how long callers may keep an answer
-	directoryMost  = 8               // addresses in an answer
-	directoryLeast = 1               // below it unreachable instances are named too
+	KeepLength    = 5 * time.Second // how long callers may keep an answer
+	directoryMost = 8               // addresses in an answer
 )
 
 // Address is an entry instance that callers may use.
@@ -36,82 +33,89 @@
 
 // Lookup returns the addresses for a service, best first: the caller's failure domain, then its region, then by
 // rendezvous for the service, so that the callers of one service meet at few instances, its home among them.
+//
+// Instances that cannot be reached from here are named only when there is no other.
 func (entry *Entry) Lookup(service, domain, region string) Directory {
 	plan := entry.members.plan()
 	directory := Directory{Service: service, KeepUntil: entry.Clock().Add(KeepLength)}
-	all := entry.ranked(plan, service, domain, region)
-	for _, candidate := range all {
-		if len(directory.Addresses) < directoryMost && entry.usable(candidate) {
-			directory.Addresses = append(directory.Addresses, addressOf(candidate))
-		}
-	}
-	if len(directory.Addresses) >= directoryLeast {
-		rotate(directory.Addresses, near(all, domain, region), int(entry.lookups.Add(1)))
-		return directory
+	from := locality{domain, region}
+	chosen := plan.nearest(service, from, entry.usable)
+	if len(chosen) == 0 {
+		chosen = plan.nearest(service, from, func(*instance.Entry) bool { return true })
 	}
-	for _, candidate := range all[:min(directoryMost, len(all))] {
-		directory.Addresses = append(directory.Addresses, addressOf(candidate))
+	rotate(chosen, int(entry.lookups.Add(1)))
+	for _, r := range chosen {
+		directory.Addresses = append(directory.Addresses, addressOf(r.entry))
 	}
 	return directory
 }
 
-// near returns how many of the ranked instances are as near to the caller as the first one.
-func near(ranked []instance.Entry, domain, region string) int {
-	same := func(e instance.Entry) [2]bool {
-		return [2]bool{domain != "" && e.Domain == domain, region != "" && e.Region == region}
+// locality is where a caller is, as far as it says.
+type locality struct {
+	domain, region string
+}
+
+// nearness grades an instance for the caller, 2 for its failure domain and 1 for its region.
+func (locality locality) nearness(entry *instance.Entry) int {
+	switch {
+	case locality.domain != "" && entry.Domain == locality.domain:
+		return 2
+	case locality.region != "" && entry.Region == locality.region:
+		return 1
 	}
-	n := 0
-	for n < len(ranked) && same(ranked[n]) == same(ranked[0]) {
-		n++
+	return 0
+}
+
+// ranked is an instance with its rank in an answer.
+type ranked struct {
+	entry    *instance.Entry
+	nearness int
+	weight   uint64
+}
+
+// compareRanked orders better instances first.
+func compareRanked(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.nearness, a.nearness), cmp.Compare(b.weight, a.weight))
+}
+
+// nearest returns the best usable instances for an answer, in order.
+func (plan *plan) nearest(service string, from locality, usable func(*instance.Entry) bool) []ranked {
+	key := home.Slice{Service: service}.Key()
+	best := make([]ranked, 0, directoryMost+1)
+	for i := range plan.candidates {
+		candidate := &plan.candidates[i]
+		r := ranked{&candidate.Entry, from.nearness(&candidate.Entry), candidate.Weight(key)}
+		if len(best) == directoryMost && compareRanked(r, best[directoryMost-1]) > 0 || !usable(&candidate.Entry) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, r, compareRanked)
+		best = slices.Insert(best, at, r)
+		best = best[:min(directoryMost, len(best))]
 	}
-	return n
+	return best
 }
 
-// rotate shifts the nearest addresses, so that callers who take the first one are spread.
-func rotate(addresses []Address, near, by int) {
-	nearest := addresses[:min(near, len(addresses))]
-	if len(nearest) == 0 {
+// rotate shifts the instances that are as near as the first one, so that callers who take the first address are spread.
+func rotate(chosen []ranked, by int) {
+	near := 0
+	for near < len(chosen) && chosen[near].nearness == chosen[0].nearness {
+		near++
+	}
+	if near == 0 {
 		return
 	}
-	by %= len(nearest)
-	copy(nearest, append(slices.Clone(nearest[by:]), nearest[:by]...))
+	by %= near
+	copy(chosen, append(slices.Clone(chosen[by:near]), chosen[:by]...))
 }
 
 // usable reports whether an instance can be reached from here; this one is usable unless it leaves.
-func (entry *Entry) usable(candidate instance.Entry) bool {
+func (entry *Entry) usable(candidate *instance.Entry) bool {
 	if candidate.Name == entry.Name {
 		return !entry.IsLeaving()
 	}
 	return entry.Peers.Reachable(candidate.Name)
 }
 
-func (entry *Entry) ranked(plan *plan, service, domain, region string) []instance.Entry {
-	type scored struct {
-		entry instance.Entry
-		near  int
-		score uint64
-	}
-	key := xxhash.Sum64String(service)
-	all := make([]scored, 0, len(plan.candidates))
-	for _, candidate := range plan.candidates {
-		near := 0
-		if domain != "" && candidate.Entry.Domain == domain {
-			near = 2
-		} else if region != "" && candidate.Entry.Region == region {
-			near = 1
-		}
-		all = append(all, scored{candidate.Entry, near, home.Weight(key, xxhash.Sum64String(candidate.Entry.Name))})
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.near, a.near), cmp.Compare(b.score, a.score))
-	})
-	out := make([]instance.Entry, len(all))
-	for i := range all {
-		out[i] = all[i].entry
-	}
-	return out
-}
-
-func addressOf(entry instance.Entry) Address {
+func addressOf(entry *instance.Entry) Address {
 	return Address{Name: entry.Name, Address: entry.Caller, Domain: entry.Domain, Region: entry.Region}
 }
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,6 +58,15 @@
 	}
 }
 
+func TestDirectoryNamesTheHome(t *testing.T) {
+	e := newTestEntry(listOf(48, 10, 10))
+	for i := range 10 {
+		service := fmt.Sprintf("service-%d", i)
+		at := e.members.plan().place(home.Slice{Service: service}).home
+		must.True(t, slices.ContainsFunc(e.Lookup(service, "", "").Addresses, func(a Address) bool { return a.Name == at.Name }))
+	}
+}
+
 func TestLeavingWinsOverAnOlderList(t *testing.T) {
 	e := newTestEntry(listOf(3, 1, 1))
 	e.MarkLeaving("entry-1")
@@ -156,3 +166,16 @@
 		must.Eq(t, e.Name, decider.Name)
 	}
 }
+
+// BenchmarkLookup is one answer of the directory.
+func BenchmarkLookup(b *testing.B) {
+	for _, entries := range []int{48, 220, 880} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			e := newTestEntry(listOf(entries, 1, 1))
+			b.ReportAllocs()
+			for b.Loop() {
+				e.Lookup("service-0", "domain-1", "")
+			}
+		})
+	}
+}
