Let alike requests use every slice, and tidy the bench

Cause (found by reading): a request's slice is chosen by its fingerprint, so that quarantine and evidence meet. Many alike requests to a service of more than 32 servers could use the slots of one slice only, and its part of the service's limit, while the others were idle. Change: while the first slice has no free slot or its part of the limit is spent, the next one is asked; both ask without waiting, and a request waits at its own slice only. A refusal without waiting spends neither limit nor budget. Before: TestAlikeRequestsUseAllSlices gets the slots of one slice and waits out its second. After: 64 of 64 slots. Also: a server counts as down only until it answers again (a stray refused connection made a slow server look like one that starts cold); the bench's twins joined.

--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -210,7 +210,7 @@
 			return
 		}
 	}
-	grant, decision := exchange.handler.Entry.Acquire(exchange.ctx, exchange.slice, ask)
+	grant, decision := exchange.handler.Entry.AcquireAny(exchange.ctx, exchange.slice, ask)
 	exchange.post(event{id: ask.Attempt, grant: grant, decision: &decision})
 }
 
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -202,7 +202,7 @@
 		Attempt: exchange.handler.nextAttempt(), Team: exchange.r.Header.Get(backend.TeamHeader), Idempotent: true, Number: exchange.request.Number(),
 		Exclude: exchange.request.Tried(), Deadline: action.At, Fingerprint: exchange.fingerprint,
 	}
-	grant, _ := exchange.handler.Entry.Acquire(exchange.ctx, exchange.slice, ask)
+	grant, _ := exchange.handler.Entry.AcquireAny(exchange.ctx, exchange.slice, ask)
 	if grant == nil {
 		return false
 	}
--- a/core/pool/measure_test.go
+++ b/core/pool/measure_test.go
@@ -37,6 +37,18 @@
 	falseEjections   int
 }
 
+// add adds a run in which the fault began at a time.
+func (m *measured) add(b *bench, began time.Time) {
+	m.sickWork += b.sickWork
+	m.answered += b.answered
+	m.missed += b.late + b.failed
+	if b.detectedAt.IsZero() {
+		m.undetected++
+		return
+	}
+	m.detection = append(m.detection, b.detectedAt.Sub(began))
+}
+
 func (m *measured) at(quantile float64) time.Duration {
 	if len(m.detection) == 0 {
 		return 0
@@ -74,14 +86,7 @@
 			}
 		}
 		m.falseEjections += others
-		m.sickWork += b.sickWork
-		m.answered += b.answered
-		m.missed += b.late + b.failed
-		if b.detectedAt.IsZero() {
-			m.undetected++
-		} else {
-			m.detection = append(m.detection, b.detectedAt.Sub(began))
-		}
+		m.add(b, began)
 	}
 	return m
 }
@@ -238,12 +243,7 @@
 		b.run(faultLength / 2)
 		share += float64(b.sickWork) / (faultLength / 2).Seconds() / coldRuns
 		m.ejections += b.ejections
-		m.missed += b.late + b.failed
-		if b.detectedAt.IsZero() {
-			m.undetected++
-		} else {
-			m.detection = append(m.detection, b.detectedAt.Sub(began))
-		}
+		m.add(b, began)
 	}
 	return m, share
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -37,6 +37,7 @@
 	Number      int      // attempt number of the request, from 1
 	Exclude     []string // servers that this request has tried
 	Verify      string   // suspect server to verify with a copy of an answered request, empty for a caller's request
+	NoWait      bool     // refused at once when no slot is free
 	Deadline    time.Time
 	Fingerprint uint64 // 0 when the request has none
 }
@@ -90,11 +91,11 @@
 	queue    queue
 	meanHeld time.Duration // for which a slot is held
 	ready    []Decision
-	budget   budget // of retries and hedges
 	rate     limit.Bucket
 
-	verifyBudget budget
-	baseline     rate // events of all servers
+	budget       budget // of retries and hedges
+	verifyBudget budget // of verifications
+	baseline     rate   // events of all servers
 	vantages     vantages
 	quarantine   quarantine.Quarantine
 	ended        recent
@@ -203,6 +204,9 @@
 	if ask.Verify != "" {
 		return pool.verify(now, &ask)
 	}
+	if ask.NoWait && !pool.hasSlot(now, &ask) {
+		return Decision{Attempt: ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)}
+	}
 	if ask.Number <= 1 {
 		if granted, retryAt := pool.rate.Take(now, pool.policy.Limit, 1); granted == 0 {
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
@@ -221,6 +225,12 @@
 	return pool.enqueue(now, ask)
 }
 
+// hasSlot reports whether an ask would get a slot now.
+func (pool *Pool) hasSlot(now time.Time, ask *Ask) bool {
+	s, _ := pool.choose(now, ask)
+	return s != nil && pool.queue.len() == 0
+}
+
 // running reports whether a request is at a server now.
 func (pool *Pool) running(fingerprint uint64) bool {
 	for _, g := range pool.grants {
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -163,7 +163,7 @@
 	baseline := baselineWithout(now, &pool.baseline, &s.events)
 	s.events.add(now, 0)
 	pool.baseline.add(now, 0)
-	s.answeredAt = now
+	s.answeredAt, s.down = now, false
 	s.recentAnswers.add(g.grantedAt)
 	s.evidence.succeed(now, report.Domain, baseline)
 	if s.cold(now) {
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -50,7 +50,7 @@
 	coldUntil     time.Time // slowness is no failure before
 	inTime        int       // answers in time in a row while cold
 	doubtedAt     time.Time // latest slowness while cold
-	down          bool      // refused connections or failed a probe since it was last in service
+	down          bool      // refused a connection or failed a probe since it last answered
 	freshUntil    time.Time // new connections only until then
 	connections   connections
 	evidence      evidence
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -274,24 +274,11 @@
 func (r *benchRequest) send(report pool.Report, d pool.Decision) {
 	b := r.bench
 	s := b.server(d.Server)
-	if s.name == b.sick {
-		b.sickWork++
-	}
-	started, open := b.now, true
-	s.active++
-	end := func(outcome pool.Outcome) {
-		open = false
-		s.active--
-		report.Outcome = outcome
-		if outcome == pool.Answered {
-			report.FirstByte = b.now.Sub(started)
-		}
-		b.report(report)
-	}
+	open, end := b.begin(s, report)
 	outcome, length := b.fate(s, r.entry%benchDomains)
 	if length > 0 {
 		b.after(length, func() {
-			if !open {
+			if !*open {
 				return
 			}
 			end(outcome)
@@ -314,7 +301,30 @@
 			}
 		})
 	}
-	r.watch(report, d, &open, end)
+	r.watch(report, d, open, end)
+}
+
+// begin starts an attempt at a server; end reports its outcome, once.
+func (b *bench) begin(s *benchServer, report pool.Report) (open *bool, end func(pool.Outcome)) {
+	if s.name == b.sick {
+		b.sickWork++
+	}
+	started := b.now
+	s.active++
+	open = new(bool)
+	*open = true
+	return open, func(outcome pool.Outcome) {
+		if !*open {
+			return
+		}
+		*open = false
+		s.active--
+		report.Outcome = outcome
+		if outcome == pool.Answered {
+			report.FirstByte = b.now.Sub(started)
+		}
+		b.report(report)
+	}
 }
 
 // watch ends an attempt that is no longer wanted, and hedges or times out a slow one.
@@ -393,29 +403,13 @@
 // sendCopy runs a verification, which is cancelled once its answer would be too late to clear the server.
 func (b *bench) sendCopy(entry int, report pool.Report, d pool.Decision) {
 	s := b.server(d.Server)
-	if s.name == b.sick {
-		b.sickWork++
-	}
-	started, open := b.now, true
-	s.active++
-	end := func(outcome pool.Outcome) {
-		if !open {
-			return
-		}
-		open = false
-		s.active--
-		report.Outcome = outcome
-		if outcome == pool.Answered {
-			report.FirstByte = b.now.Sub(started)
-		}
-		b.report(report)
-	}
+	open, end := b.begin(s, report)
 	if outcome, length := b.fate(s, entry%benchDomains); length > 0 {
 		b.after(length, func() { end(outcome) })
 	}
 	silence := d.SuspectAt.Sub(b.now)
 	b.after(silence, func() {
-		if open {
+		if *open {
 			overdue := report
 			overdue.Overdue = true
 			b.report(overdue)
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -27,6 +27,25 @@
 	return home.Slice{Service: service, Index: int(seed % uint64(slices))}
 }
 
+// AcquireAny acquires a grant in a service's slice, or in the next one while that has no free slot: requests that are
+// alike have the same slice first, and many of them must not wait while the others' slots are free.
+func (entry *Entry) AcquireAny(ctx context.Context, slice home.Slice, ask pool.Ask) (*Grant, pool.Decision) {
+	slices := entry.members.plan().slices(slice.Service)
+	if slices <= 1 || ask.Verify != "" {
+		return entry.Acquire(ctx, slice, ask)
+	}
+	next := home.Slice{Service: slice.Service, Index: (slice.Index + 1) % slices}
+	eager := ask
+	eager.NoWait = true
+	for _, at := range []home.Slice{slice, next} {
+		grant, decision := entry.Acquire(ctx, at, eager)
+		if grant != nil || decision.Verdict != pool.Full && decision.Verdict != pool.Limited {
+			return grant, decision
+		}
+	}
+	return entry.Acquire(ctx, slice, ask)
+}
+
 // Acquire asks the slice's home for a grant, then its deputy, then decides alone. The grant is nil when the decision is a refusal.
 func (entry *Entry) Acquire(ctx context.Context, slice home.Slice, ask pool.Ask) (*Grant, pool.Decision) {
 	ask.Entry, ask.Domain = entry.Name, entry.Domain
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"runtime"
@@ -13,6 +14,7 @@
 
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
 )
 
 func listOf(entries, servers, services int) instance.List {
@@ -67,6 +69,23 @@
 	}
 }
 
+// TestAlikeRequestsUseAllSlices sends more requests of one kind than its slice has slots.
+func TestAlikeRequestsUseAllSlices(t *testing.T) {
+	e := newTestEntry(listOf(1, 64, 1))
+	e.ApplyRules(1, "service service-0 slots=1 # asked by: test\n")
+	slice := e.SliceFor("service-0", 7)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	granted := 0
+	for attempt := range uint64(64) {
+		ask := pool.Ask{Attempt: attempt + 1, Number: 1, Deadline: time.Now().Add(time.Second)}
+		if grant, _ := e.AcquireAny(ctx, slice, ask); grant != nil {
+			granted++
+		}
+	}
+	must.Eq(t, 64, granted)
+}
+
 func TestLeavingWinsOverAnOlderList(t *testing.T) {
 	e := newTestEntry(listOf(3, 1, 1))
 	e.MarkLeaving("entry-1")
