--- a/core/pool/ejection.go
+++ b/core/pool/ejection.go
@@ -85,7 +85,7 @@
 }
 
 // othersAnswer reports whether enough of the other servers have answered in time since the attempt of the server's
-// latest failure was granted: what kept that one silent did not keep them. The latest word of each of them counts.
+// latest failure was granted, so that the cause is not a shared one. The latest outcome at each of them counts.
 func (pool *Pool) othersAnswer(except *server) bool {
 	answered, failed := 0, 0
 	for _, s := range pool.servers {
--- a/core/pool/evidence.go
+++ b/core/pool/evidence.go
@@ -149,8 +149,8 @@
 	evidence.overall.add(now, float64(answers)*math.Log((1-sickRate)/(1-baseline)))
 }
 
-// recentAnswers remembers when the attempts of the latest answers in time were granted. Answers come sooner than silences are
-// noticed, so those that belong after a failure have come before it, when there was nothing for them to speak against.
+// recentAnswers remembers when the attempts of the latest answers in time were granted. Answers arrive sooner than silences
+// are detected, so an answer that follows a failure in order of grants may be reported before it, while the score is zero.
 type recentAnswers struct {
 	grantedAt [answersKept]time.Time
 	next      int
--- a/core/pool/verification.go
+++ b/core/pool/verification.go
@@ -23,8 +23,8 @@
 
 // verify grants or declines a verification that another entry instance makes with a copy of an answered request.
 //
-// It is the indirect probe of SWIM (Das, Gupta and Motivala, 2002) with real work in place of a ping: vantages
-// beside the one that met the failure confirm or clear the server without waiting for callers to come by.
+// It is the indirect probe of SWIM (Das, Gupta and Motivala, 2002) with real work in place of a ping: other failure
+// domains than the one that saw the failure confirm or clear the server without waiting for further requests.
 func (pool *Pool) verify(now time.Time, ask *Ask) Decision {
 	declined := Decision{Attempt: ask.Attempt, Verdict: NotNeeded, RetryAt: now}
 	s := pool.server(ask.Verify)
