Verify a server in the slice that granted it

Change: a grant asks for the verification of its own server, in its own slice; there is no slice to pass any more. Before: TestAlikeRequestsUseAllSlices fails with the first slice put back. After: passes.

--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -69,7 +69,7 @@
 		return false
 	}
 	a.overdue = true
-	exchange.doubtful = append(exchange.doubtful, a.grant.Server)
+	exchange.doubtful = append(exchange.doubtful, a.grant)
 	a.grant.Overdue(a.progress.Reused())
 	return exchange.do(exchange.request.Overdue(exchange.now(), exchange.body.replayable()))
 }
@@ -80,7 +80,7 @@
 	outcome := pool.Reset
 	if !a.progress.Wrote() {
 		outcome = pool.ConnectFailed
-		exchange.doubtful = append(exchange.doubtful, a.grant.Server)
+		exchange.doubtful = append(exchange.doubtful, a.grant)
 	}
 	exchange.close(a, outcome)
 	return exchange.again(retry.Failure{Wrote: a.progress.Wrote(), Replayable: exchange.body.replayable()})
@@ -126,9 +126,8 @@
 		Method: method, Target: exchange.r.URL.RequestURI(), Host: exchange.r.Host,
 		Header: outgoingHeader(exchange.r, exchange.request.Deadline),
 	}
-	for _, server := range exchange.doubtful {
-		suspicion := entry.Verification{Slice: exchange.slice, Server: server, Fingerprint: exchange.fingerprint, Request: copied}
-		exchange.handler.Entry.VerifyBeside(suspicion, exchange.handler.nextAttempt)
+	for _, grant := range exchange.doubtful {
+		grant.VerifyBeside(copied, exchange.handler.nextAttempt)
 	}
 }
 
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -31,8 +31,8 @@
 	writeBy     time.Time          // deadline to begin writing under the claim
 	events      chan event
 	out         map[uint64]*attempt
-	doubtful    []string // backend servers that were silent or could not be reached
-	spare       *attempt // a refusal of a backend server, passed on when nothing better comes
+	doubtful    []*entry.Grant // of backend servers that were silent or could not be reached
+	spare       *attempt       // a refusal of a backend server, passed on when nothing better comes
 	ctx         context.Context
 	cancel      context.CancelFunc
 	endMu       sync.Mutex
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -76,14 +76,37 @@
 	slice := e.SliceFor("service-0", 7)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	granted := 0
+	var grants []*Grant
 	for attempt := range uint64(64) {
 		ask := pool.Ask{Attempt: attempt + 1, Number: 1, Deadline: time.Now().Add(time.Second)}
 		if grant, _ := e.AcquireAny(ctx, slice, ask); grant != nil {
-			granted++
+			grants = append(grants, grant)
 		}
 	}
-	must.Eq(t, 64, granted)
+	must.SliceLen(t, 64, grants)
+
+	// A server is verified in its own slice, whichever slice was asked first.
+	peers := &verifying{}
+	e.Peers = peers
+	e.ApplyList(listOf(3, 64, 1))
+	last := grants[63]
+	must.NotEq(t, slice, last.Slice)
+	last.VerifyBeside(Copy{Method: "GET", Target: "/"}, func() uint64 { return 99 })
+	(<-e.verifications.waiting)(ctx)
+	must.SliceLen(t, 2, peers.asked)
+	must.Eq(t, last.Slice, peers.asked[0].Slice)
+	must.Eq(t, last.Server, peers.asked[0].Server)
+}
+
+// verifying takes the verifications that an instance asks its peers for.
+type verifying struct {
+	alwaysReachable
+	asked []Verification
+}
+
+func (verifying *verifying) Verify(_ context.Context, _ Peer, verification Verification) error {
+	verifying.asked = append(verifying.asked, verification)
+	return nil
 }
 
 func TestLeavingWinsOverAnOlderList(t *testing.T) {
--- a/entry/verification.go
+++ b/entry/verification.go
@@ -85,15 +85,18 @@
 	}
 }
 
-// VerifyBeside has instances of other failure domains verify a server that did badly with a request that another one has
-// answered in time. It does not wait; next returns attempts.
-func (entry *Entry) VerifyBeside(suspicion Verification, next func() uint64) {
+// VerifyBeside has instances of other failure domains verify the grant's server, which did badly with a request that
+// another one has answered in time. It does not wait; next returns attempts.
+func (grant *Grant) VerifyBeside(request Copy, next func() uint64) {
+	entry := grant.entry
 	entry.addVerification(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 		defer cancel()
-		for _, peer := range entry.vantages(suspicion.Slice) {
-			verification := suspicion
-			verification.Attempt, verification.Control = next(), next()
+		for _, peer := range entry.vantages(grant.Slice) {
+			verification := Verification{
+				Slice: grant.Slice, Server: grant.Server, Attempt: next(), Control: next(),
+				Fingerprint: grant.ask.Fingerprint, Request: request,
+			}
 			if err := entry.Peers.Verify(ctx, peer, verification); err != nil {
 				entry.Log.Debug("entry: a peer was not asked to verify a server", zap.String("peer", peer.Name), zap.Error(err))
 			}
