--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
 )
 
@@ -30,7 +31,6 @@
 // Connection handling.
 const (
 	dialTimeout    = time.Second
-	idleTimeout    = 5 * time.Second
 	idlePerServer  = 2
 	keepAliveIdle  = 5 * time.Second
 	keepAliveEvery = 2 * time.Second
@@ -94,7 +94,7 @@
 	}}
 	return &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
-		IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: idlePerServer,
+		IdleConnTimeout: pool.IdleLength, MaxIdleConnsPerHost: idlePerServer,
 		MaxResponseHeaderBytes: headerBytes, ExpectContinueTimeout: expectTimeout,
 	}
 }
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -76,21 +76,21 @@
 }
 
 // Vantages returns the indices of up to count instances from which a slice's servers are seen beside one of a failure
-// domain: the slice's highest ranked one of each other domain, among them its home and deputy, and then others.
-func Vantages(slice Slice, candidates []Candidate, from instance.Entry, count int) []int {
+// domain: the slice's highest ranked usable one of each other domain, among them its home and deputy, and then others.
+func Vantages(slice Slice, candidates []Candidate, from instance.Entry, count int, usable func(*instance.Entry) bool) []int {
 	key := slice.Key()
 	var chosen []int
-	taken := func(i int) bool {
-		return candidates[i].Entry.Name == from.Name || slices.Contains(chosen, i)
+	free := func(i int) bool {
+		return candidates[i].Entry.Name != from.Name && !slices.Contains(chosen, i) && usable(&candidates[i].Entry)
 	}
 	sameDomain := func(i int) bool {
 		domain := candidates[i].Entry.Domain
 		return domain == from.Domain || slices.ContainsFunc(chosen, func(c int) bool { return candidates[c].Entry.Domain == domain })
 	}
 	for len(chosen) < count {
-		next := best(key, candidates, func(i int) bool { return !taken(i) && !sameDomain(i) })
+		next := best(key, candidates, func(i int) bool { return !sameDomain(i) && free(i) })
 		if next < 0 {
-			next = best(key, candidates, func(i int) bool { return !taken(i) })
+			next = best(key, candidates, free)
 		}
 		if next < 0 {
 			break
@@ -100,10 +100,11 @@
 	return chosen
 }
 
+// best returns the index of the highest ranked candidate that is allowed, or -1.
 func best(key uint64, candidates []Candidate, allowed func(int) bool) int {
 	found, score := -1, uint64(0)
 	for i := range candidates {
-		if s := candidates[i].Weight(key); allowed(i) && (found < 0 || s > score) {
+		if s := candidates[i].Weight(key); (found < 0 || s > score) && allowed(i) {
 			found, score = i, s
 		}
 	}
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -53,12 +53,13 @@
 }
 
 func TestVantagesAreInOtherDomains(t *testing.T) {
+	any := func(*instance.Entry) bool { return true }
 	all := entries(12, 3)
 	candidates := Candidates(all)
 	slice := Slice{Service: "balances"}
 	first, deputy := Choose(slice, candidates)
 	for _, from := range all {
-		chosen := Vantages(slice, candidates, from, 2)
+		chosen := Vantages(slice, candidates, from, 2, any)
 		must.SliceLen(t, 2, chosen)
 		a, b := candidates[chosen[0]].Entry, candidates[chosen[1]].Entry
 		must.NotEq(t, from.Domain, a.Domain)
@@ -68,9 +69,9 @@
 			must.Eq(t, []int{first, deputy}, chosen)
 		}
 	}
-	must.SliceLen(t, 2, Vantages(slice, Candidates(entries(3, 1)), all[0], 2))
-	must.SliceLen(t, 1, Vantages(slice, Candidates(entries(2, 2)), all[0], 2))
-	must.SliceEmpty(t, Vantages(slice, Candidates(entries(1, 1)), all[0], 2))
+	must.SliceLen(t, 2, Vantages(slice, Candidates(entries(3, 1)), all[0], 2, any))
+	must.SliceLen(t, 1, Vantages(slice, Candidates(entries(2, 2)), all[0], 2, any))
+	must.SliceEmpty(t, Vantages(slice, Candidates(entries(1, 1)), all[0], 2, any))
 }
 
 func TestSlicesCoverAllServers(t *testing.T) {
--- a/core/pool/choice.go
+++ b/core/pool/choice.go
@@ -51,7 +51,7 @@
 		}
 		return rankNone
 	}
-	suspect := s.evidence.overall.value(now) >= suspectScore
+	suspect := s.suspect(now)
 	path := s.evidence.against(now, ask.Domain) >= suspectScore
 	switch {
 	case s.cold(now) && s.verifying > 0:
--- a/core/pool/connections.go
+++ b/core/pool/connections.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// Connection budget.
-const (
-	idleSpan        = 5 * time.Second // for which an entry instance keeps an idle connection
-	connectionShare = 0.8             // share of a server's connections that grants may use
-)
+// IdleLength is how long an entry instance keeps an idle connection to a backend server.
+const IdleLength = 5 * time.Second
+
+// connectionShare is the share of a server's connections that grants may use.
+const connectionShare = 0.8
 
 // connections counts the connections to a server that grants left open in this span and in the one before: at least as many
 // as are open, as each is closed after a span without use. The zero value has none.
@@ -20,10 +20,10 @@
 		return
 	}
 	connections.before = connections.now
-	if now.Sub(connections.turnAt) >= idleSpan {
+	if now.Sub(connections.turnAt) >= IdleLength {
 		connections.before = 0
 	}
-	connections.now, connections.turnAt = 0, now.Add(idleSpan)
+	connections.now, connections.turnAt = 0, now.Add(IdleLength)
 }
 
 // keep counts a grant's connection and reports whether it may stay open afterwards.
--- a/core/pool/connections_test.go
+++ b/core/pool/connections_test.go
@@ -11,11 +11,8 @@
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 )
 
-// idleLength and idleMost are how long, and how many, idle connections an entry instance keeps to a server.
-const (
-	idleLength = 5 * time.Second
-	idleMost   = 2
-)
+// idleMost is how many idle connections an entry instance keeps to a server.
+const idleMost = 2
 
 // TestMeasureConnections counts the connections that entry instances hold open to each server, against a budget of 400.
 func TestMeasureConnections(t *testing.T) {
@@ -70,7 +67,7 @@
 			}
 			since := b.now
 			idle[d.Server][entry] = append(idle[d.Server][entry], since)
-			b.after(idleLength, func() {
+			b.after(pool.IdleLength, func() {
 				if kept := idle[d.Server][entry]; len(kept) > 0 && kept[0].Equal(since) {
 					idle[d.Server][entry] = kept[1:]
 					open[d.Server]--
--- a/core/pool/ejection.go
+++ b/core/pool/ejection.go
@@ -104,7 +104,7 @@
 func (pool *Pool) othersSuspect(now time.Time, except *server) bool {
 	suspects := 0
 	for _, s := range pool.servers {
-		if s != except && s.phase == inService && s.evidence.overall.value(now) >= suspectScore {
+		if s != except && s.phase == inService && s.suspect(now) {
 			suspects++
 		}
 	}
@@ -276,7 +276,7 @@
 		return "probing"
 	case server.phase == trial:
 		return "trial"
-	case server.evidence.overall.value(now) >= suspectScore:
+	case server.suspect(now):
 		return "suspect"
 	}
 	return "in-service"
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -94,6 +94,11 @@
 	}
 }
 
+// suspect reports whether there is evidence against the server.
+func (server *server) suspect(now time.Time) bool {
+	return server.evidence.overall.value(now) >= suspectScore
+}
+
 // limit returns how many requests the server may run now.
 func (server *server) limit(now time.Time) int {
 	if server.phase == trial {
--- a/core/pool/verification.go
+++ b/core/pool/verification.go
@@ -54,5 +54,5 @@
 	if s.cold(now) && now.Sub(s.doubtedAt) < coldPatience*pool.suspectIn {
 		return true
 	}
-	return s.evidence.overall.value(now) >= suspectScore
+	return s.suspect(now)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -135,7 +135,7 @@
 	lookups  atomic.Uint64
 	initOnce sync.Once
 
-	verifications verifications
+	verifications chan func(context.Context) // waiting for a worker
 }
 
 // Init fills in what is not set; Run calls it, and tests that do not call Run may.
@@ -163,7 +163,7 @@
 	entry.members.init()
 	entry.rules.wanted = make(chan Peer, 1)
 	entry.keys.wanted = make(chan struct{}, 1)
-	entry.verifications.waiting = make(chan func(context.Context), verifyRoom)
+	entry.verifications = make(chan func(context.Context), verifyRoom)
 }
 
 // Rules returns the rules in force and their version; version 0 has none.
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -31,7 +31,7 @@
 // alike have the same slice first, and many of them must not wait while the others' slots are free.
 func (entry *Entry) AcquireAny(ctx context.Context, slice home.Slice, ask pool.Ask) (*Grant, pool.Decision) {
 	slices := entry.members.plan().slices(slice.Service)
-	if slices <= 1 || ask.Verify != "" {
+	if slices <= 1 {
 		return entry.Acquire(ctx, slice, ask)
 	}
 	next := home.Slice{Service: slice.Service, Index: (slice.Index + 1) % slices}
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -92,7 +92,7 @@
 	last := grants[63]
 	must.NotEq(t, slice, last.Slice)
 	last.VerifyBeside(Copy{Method: "GET", Target: "/"}, func() uint64 { return 99 })
-	(<-e.verifications.waiting)(ctx)
+	(<-e.verifications)(ctx)
 	must.SliceLen(t, 2, peers.asked)
 	must.Eq(t, last.Slice, peers.asked[0].Slice)
 	must.Eq(t, last.Server, peers.asked[0].Server)
--- a/entry/verification.go
+++ b/entry/verification.go
@@ -53,15 +53,10 @@
 	Replay(ctx context.Context, grant *Grant, request Copy)
 }
 
-// verifications are waiting for a worker.
-type verifications struct {
-	waiting chan func(context.Context)
-}
-
 // addVerification queues a verification, or drops it: it is of use at once or not at all.
 func (entry *Entry) addVerification(verify func(context.Context)) {
 	select {
-	case entry.verifications.waiting <- verify:
+	case entry.verifications <- verify:
 	default:
 		entry.count("verifications.dropped")
 	}
@@ -77,7 +72,7 @@
 				select {
 				case <-ctx.Done():
 					return
-				case verify := <-entry.verifications.waiting:
+				case verify := <-entry.verifications:
 					verify(ctx)
 				}
 			}
@@ -107,15 +102,10 @@
 // vantages returns the reachable instances that verify this one's suspicions in a slice.
 func (entry *Entry) vantages(slice home.Slice) []Peer {
 	plan := entry.members.plan()
-	reachable := make([]home.Candidate, 0, len(plan.candidates))
-	for _, candidate := range plan.candidates {
-		if candidate.Entry.Name == entry.Name || entry.Peers.Reachable(candidate.Entry.Name) {
-			reachable = append(reachable, candidate)
-		}
-	}
+	self := instance.Entry{Name: entry.Name, Domain: entry.Domain}
 	var out []Peer
-	for _, i := range home.Vantages(slice, reachable, instance.Entry{Name: entry.Name, Domain: entry.Domain}, verifyVantages) {
-		out = append(out, Peer{reachable[i].Entry.Name, reachable[i].Entry.Peer})
+	for _, i := range home.Vantages(slice, plan.candidates, self, verifyVantages, entry.usable) {
+		out = append(out, Peer{plan.candidates[i].Entry.Name, plan.candidates[i].Entry.Peer})
 	}
 	return out
 }
