--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -179,7 +179,8 @@
 	daemon.backend = &backend.Backend{Dialect: platform.Dialect}
 	daemon.entry = &entry.Entry{
 		Name: s.Name, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: s.Peer, Operator: s.Operator, Incarnation: incarnation,
-		FirstStart: s.FirstStart, Seeds: s.Seeds, Keep: time.Duration(s.Callers.Keep), Addresses: s.Callers.Addresses, Retries: entry.Retries{Share: s.Retries.Share, Burst: homeBurst * s.Retries.Burst},
+		FirstStart: s.FirstStart, DecideAlone: s.DecideAlone, Seeds: s.Seeds, Keep: time.Duration(s.Callers.Keep), Addresses: s.Callers.Addresses,
+		Retries:   entry.Retries{Share: s.Retries.Share, Burst: homeBurst * s.Retries.Burst},
 		Intervals: entry.Intervals{List: time.Duration(s.Intervals.InstanceList), Table: time.Duration(s.Intervals.KeyTable)},
 		Store:     platform.Store, Instances: platform.Instances, Feed: platform.Feed, Registrar: platform.Registrar,
 		Rulebook: platform.Rulebook, Prober: daemon.backend, Replayer: daemon.backend,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -120,6 +120,7 @@
 	Peer        netip.AddrPort
 	Operator    netip.AddrPort
 	FirstStart  bool             // the whole fleet starts for the first time
+	DecideAlone bool             // no home is asked: the baseline that shared decisions are measured against
 	Seeds       []netip.AddrPort // peer addresses of some instances, to ask while the platform does not answer at the start
 	Incarnation idempotency.Incarnation
 	Intervals   Intervals
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -89,6 +89,9 @@
 // deciders returns a slice's home and deputy, without those that were silent lately: asking them again each time would
 // cost every request its patience with them.
 func (entry *Entry) deciders(slice home.Slice) []instance.Entry {
+	if entry.DecideAlone {
+		return nil
+	}
 	at := entry.members.plan().place(slice)
 	out := make([]instance.Entry, 0, 2)
 	for _, candidate := range []instance.Entry{at.home, at.deputy} {
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -221,3 +221,17 @@
 		})
 	}
 }
+
+// TestBaselineAsksNoHome checks the baseline of measurements: every instance decides by what it has seen itself.
+func TestBaselineAsksNoHome(t *testing.T) {
+	e := newTestEntry(listOf(9, 4, 1))
+	e.Peers = nil // a call to a peer would panic
+	e.DecideAlone = true
+	slice := e.SliceFor("service-0", 1)
+	must.SliceEmpty(t, e.deciders(slice))
+	grant, decision := e.Acquire(t.Context(), slice, pool.Ask{Attempt: 1, Number: 1, Idempotent: true})
+	must.Eq(t, pool.Granted, decision.Verdict)
+	grant.Done(pool.Report{Outcome: pool.Answered})
+	must.True(t, e.alone.has(slice))
+	must.False(t, e.homes.has(slice))
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,7 @@
 	Callers       Callers          `toml:"callers"`
 	Retries       Retries          `toml:"retries"`
 	Floor         float64          `toml:"floor"`
+	DecideAlone   bool             `toml:"decide-alone"` // the instance shares no decisions; for comparisons only
 }
 
 // Platform names the kind of platform that an instance runs on.
