Write logs without waiting, explain each failed request whole, serve metrics in the usual format

Cause: the logger wrote to standard output inside the request; a reader that stops would stop all requests. Lines of one request could be sampled away; requests that were turned away before any server was asked had no line; what a home believes of its servers and slices was not told; metrics were a summary format of our own.

Change: logs (bounded room, background writer, counts of what is left out), a narration that writes all lines of a request that fails, is late or is tried again, lines for beliefs (servers failing and answering, ejection, quarantine, homes taken and lost, peers silent and back, list differences), latency histograms, Prometheus' text format by its own library. The walks of docs/OPERATIONS.md run the page's commands over the output of a real process.

TestBlockedStandardOutput fails with the logger before (requests hang once the pipe is full); tests of the touched packages pass.

--- a/adapters/caller/http/answer.go
+++ b/adapters/caller/http/answer.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
@@ -28,7 +27,7 @@
 
 // answer writes a final answer that sequoiaspan makes itself.
 func (handler *Handler) answer(w http.ResponseWriter, r *http.Request, answer retry.Answer) {
-	metrics.GetOrRegisterCounter("caller.own-answers."+string(answer.Reason), handler.Metrics).Inc(1)
+	handler.count("caller.own-answers{reason=" + string(answer.Reason) + "}")
 	header := w.Header()
 	header.Set("Content-Type", "application/problem+json")
 	header.Set("Cache-Control", "no-store")
--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/latency"
 )
 
 // attempt is one try at a backend server.
@@ -71,6 +72,7 @@
 		return false
 	}
 	a.overdue = true
+	exchange.logSilent(a)
 	exchange.doubtful = append(exchange.doubtful, a.grant)
 	a.grant.Overdue(a.progress.Reused())
 	return exchange.do(exchange.request.Overdue(exchange.now(), exchange.body.replayable()))
@@ -98,6 +100,7 @@
 // answered follows the header of an answer.
 func (exchange *exchange) answered(a *attempt, response *http.Response) bool {
 	a.response, a.firstByte = response, exchange.now().Sub(a.sentAt)
+	latency.Get("backend.first-bytes", exchange.handler.Metrics).Observe(a.firstByte)
 	a.said = exchange.handler.Dialect.Reply(exchange.terms, response)
 	if a.said.Foreign {
 		_ = response.Body.Close()
@@ -123,6 +126,7 @@
 	if exchange.claim != nil {
 		exchange.settle(idempotency.Settlement{Ran: true, Status: a.response.StatusCode})
 	}
+	exchange.logAnswered(a)
 	exchange.forward(a)
 	return true
 }
--- a/adapters/caller/http/decisions.go
+++ b/adapters/caller/http/decisions.go
@@ -1,25 +1,146 @@
 package http
 
 import (
+	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/sequoiaspan/sequoiaspan/core/limit"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
+	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
 )
 
-// The decision log: a line for each decision on a request that did not go well at once. Lines of one request share its id.
+// The decision log: all lines of a request that fails, is late or is tried again, and one line a second of one that goes well.
+// Lines of one request share its id.
 
-// fields begin each line of a request.
-func (exchange *exchange) fields(more ...zap.Field) []zap.Field {
+// Volume of the decision log.
+const (
+	explainedMost = 50               // requests a second whose lines are written; each has a few
+	sampledEvery  = time.Second      // between lines of requests that went well
+	toldEvery     = 10 * time.Second // between lines that tell how many requests have no lines
+	lateShare     = 0.5              // of a request's time, after which its answer counts as late where its route has no target
+)
+
+// narration decides which requests have lines; the zero value has room for all of a second's.
+type narration struct {
+	mu        sync.Mutex
+	explained limit.Bucket
+	sampledAt time.Time
+	leftOut   int // requests without lines since toldAt
+	toldAt    time.Time
+}
+
+// explain reports whether a request's lines are written, and now and then how many requests have none.
+func (narration *narration) explain(now time.Time) (written bool, leftOut int) {
+	narration.mu.Lock()
+	defer narration.mu.Unlock()
+	granted, _ := narration.explained.Take(now, explainedMost, 1)
+	if granted == 0 {
+		narration.leftOut++
+	}
+	if narration.leftOut > 0 && now.Sub(narration.toldAt) >= toldEvery {
+		leftOut, narration.leftOut, narration.toldAt = narration.leftOut, 0, now
+	}
+	return granted > 0, leftOut
+}
+
+// sample reports whether a request that went well has a line.
+func (narration *narration) sample(now time.Time) bool {
+	narration.mu.Lock()
+	defer narration.mu.Unlock()
+	if now.Sub(narration.sampledAt) < sampledEvery {
+		return false
+	}
+	narration.sampledAt = now
+	return true
+}
+
+// explain reports whether the lines of a request that did not go well are written.
+func (handler *Handler) explain() bool {
+	if !handler.Log.Core().Enabled(zap.InfoLevel) {
+		return false
+	}
+	written, leftOut := handler.narration.explain(handler.Clock())
+	if leftOut > 0 {
+		handler.Log.Warn("request: too many to explain, some have no lines", zap.Int("requests", leftOut))
+	}
+	if !written {
+		handler.count("log.requests-left-out")
+	}
+	return written
+}
+
+// trail is what is written of one request.
+type trail struct {
+	begun   bool // it did not go well
+	written bool
+	first   placement
+}
+
+// placement is the first attempt's, whose line is held back while all goes well.
+type placement struct {
+	at     time.Time
+	waited time.Duration
+	grant  *entry.Grant
+}
+
+// tell writes a line of a request that does not go well.
+func (exchange *exchange) tell(message string, more ...zap.Field) {
+	trail := &exchange.trail
+	if !trail.begun {
+		trail.begun, trail.written = true, exchange.handler.explain()
+		if trail.written && trail.first.grant != nil {
+			exchange.write(trail.first.at, "request: placed at a backend server", exchange.placed(trail.first)...)
+		}
+	}
+	if trail.written {
+		exchange.write(exchange.now(), message, more...)
+	}
+}
+
+// write writes a line with what all lines of a request have.
+func (exchange *exchange) write(at time.Time, message string, more ...zap.Field) {
+	line := exchange.handler.Log.Check(zap.InfoLevel, message)
+	if line == nil {
+		return
+	}
+	line.Time = at
 	_, version := exchange.handler.Entry.Rules()
-	return append([]zap.Field{
+	line.Write(append([]zap.Field{
 		zap.String("request", exchange.terms.ID), zap.Uint64("fingerprint", exchange.fingerprint), zap.String("service", exchange.service.Name),
 		zap.String("route", exchange.route.Host+exchange.route.Prefix), zap.Uint64("rules-version", version),
-		zap.Duration("age", exchange.now().Sub(exchange.startedAt)), zap.Duration("left", exchange.request.Deadline.Sub(exchange.now())),
-	}, more...)
+		zap.Duration("list-age", exchange.handler.Entry.ListAge(at)),
+		zap.Duration("age", at.Sub(exchange.startedAt)), zap.Duration("left", exchange.request.Deadline.Sub(at)),
+	}, more...)...)
+}
+
+func (exchange *exchange) placed(placement placement) []zap.Field {
+	return []zap.Field{
+		zap.String("backend-server", placement.grant.Server), zap.String("server-failure-domain", placement.grant.Domain),
+		zap.String("decided-by", placement.grant.DecidedBy()), zap.Duration("waited", placement.waited),
+	}
+}
+
+// logPlaced tells of a grant: at once for a further attempt, and otherwise when the request turns out not to go well.
+func (exchange *exchange) logPlaced(grant *entry.Grant, waited time.Duration) {
+	placement := placement{exchange.now(), waited, grant}
+	if exchange.trail.first.grant == nil {
+		exchange.trail.first = placement
+		return
+	}
+	exchange.tell("request: tried at another backend server", append(exchange.placed(placement),
+		zap.Bool("hedge", len(exchange.out) > 0), zap.Int("attempt", exchange.request.Number()), zap.Int("attempts-allowed", exchange.request.Attempts),
+	)...)
+}
+
+// logSilent tells of an attempt without a first byte at the time of suspicion.
+func (exchange *exchange) logSilent(a *attempt) {
+	exchange.tell("request: a backend server is silent beyond the time of suspicion", zap.String("backend-server", a.grant.Server),
+		zap.Duration("suspect-after", a.grant.SuspectAt.Sub(a.sentAt)), zap.Bool("connection-reused", a.progress.Reused()))
 }
 
 // logFailed tells of an attempt that brought no answer to pass on.
@@ -28,43 +149,89 @@
 	if a.response != nil {
 		status = a.response.StatusCode
 	}
-	exchange.handler.Log.Info("request: an attempt failed", exchange.fields(
+	exchange.tell("request: an attempt failed",
 		zap.String("backend-server", a.grant.Server), zap.Stringer("outcome", outcome), zap.Int("status", status),
 		zap.Bool("sent", a.progress.Wrote()), zap.Bool("connection-reused", a.progress.Reused()), zap.Bool("overdue", a.overdue),
 		zap.Duration("attempt-age", exchange.now().Sub(a.sentAt)), zap.Error(err),
-	)...)
+	)
 }
 
-// logRetried tells of a further attempt.
-func (exchange *exchange) logRetried(grant *entry.Grant) {
-	exchange.handler.Log.Info("request: tried at another backend server", exchange.fields(
-		zap.String("backend-server", grant.Server), zap.Int("attempt", exchange.request.Number()), zap.Int("attempts-allowed", exchange.request.Attempts),
-	)...)
+// logRefused tells that no slot was granted for an attempt.
+func (exchange *exchange) logRefused(decision *pool.Decision, waited time.Duration) {
+	fields := []zap.Field{zap.Stringer("verdict", decision.Verdict), zap.Duration("waited", waited), zap.Int("attempt", exchange.request.Number())}
+	if !decision.RetryAt.IsZero() {
+		fields = append(fields, zap.Duration("retry-in", decision.RetryAt.Sub(exchange.now())))
+	}
+	exchange.tell("request: no slot is granted", fields...)
+}
+
+// logAnswered tells of an answer that is passed on.
+func (exchange *exchange) logAnswered(a *attempt) {
+	now := exchange.now()
+	fields := []zap.Field{
+		zap.String("backend-server", a.grant.Server), zap.Int("status", a.response.StatusCode), zap.Int("attempts", exchange.request.Number()),
+		zap.Duration("attempt-age", now.Sub(a.sentAt)), zap.Duration("first-byte", a.firstByte),
+	}
+	switch {
+	case exchange.trail.begun || exchange.isLate(now):
+		exchange.tell("request: answered", append(fields, zap.Bool("late", exchange.isLate(now)))...)
+	case exchange.handler.narration.sample(now):
+		exchange.write(now, "request: answered", append(fields,
+			zap.Bool("sampled", true), zap.Duration("waited", exchange.trail.first.waited), zap.String("decided-by", a.grant.DecidedBy()))...)
+	}
+}
+
+// isLate reports whether an answer comes later than the route's target, or late for the request's deadline where there is none.
+func (exchange *exchange) isLate(now time.Time) bool {
+	age := now.Sub(exchange.startedAt)
+	if exchange.route.Target > 0 {
+		return age > exchange.route.Target
+	}
+	return float64(age) > lateShare*float64(exchange.request.Deadline.Sub(exchange.startedAt))
 }
 
 // logGivenUp tells of an answer that sequoiaspan makes itself.
 func (exchange *exchange) logGivenUp(answer retry.Answer) {
+	exchange.tell("request: given up", append(answerFields(exchange.now(), answer), zap.Strings("tried", exchange.request.Tried()))...)
+}
+
+func answerFields(now time.Time, answer retry.Answer) []zap.Field {
 	retryIn := time.Duration(0)
 	if !answer.RetryAt.IsZero() {
-		retryIn = answer.RetryAt.Sub(exchange.now())
+		retryIn = answer.RetryAt.Sub(now)
+	}
+	return []zap.Field{
+		zap.String("reason", string(answer.Reason)), zap.String("outcome", string(answer.Truth)), zap.Duration("retry-in", retryIn),
 	}
-	exchange.handler.Log.Info("request: given up", exchange.fields(
-		zap.String("reason", string(answer.Reason)), zap.String("outcome", string(answer.Truth)),
-		zap.Strings("tried", exchange.request.Tried()), zap.Duration("retry-in", retryIn),
-	)...)
 }
 
 // logPassedOn tells of a backend server's failure that is passed on.
 func (exchange *exchange) logPassedOn(a *attempt, truth retry.Truth) {
-	exchange.handler.Log.Info("request: the failure of a backend server is passed on", exchange.fields(
+	exchange.tell("request: the failure of a backend server is passed on",
 		zap.String("backend-server", a.grant.Server), zap.Int("status", a.response.StatusCode), zap.String("outcome", string(truth)),
 		zap.Strings("tried", exchange.request.Tried()),
-	)...)
+	)
+}
+
+// logBrokenOff tells of an answer that ended before it was whole.
+func (exchange *exchange) logBrokenOff(a *attempt, err error) {
+	exchange.tell("request: its answer was broken off", zap.String("backend-server", a.grant.Server), zap.Int("status", a.response.StatusCode), zap.Error(err))
 }
 
 // logLeft tells of a caller that has gone.
 func (exchange *exchange) logLeft(sent bool) {
-	exchange.handler.Log.Info("request: the caller has gone", exchange.fields(
-		zap.Bool("sent", sent), zap.Strings("tried", exchange.request.Tried()),
-	)...)
+	exchange.tell("request: the caller has gone", zap.Bool("sent", sent), zap.Strings("tried", exchange.request.Tried()))
+}
+
+// logTurnedAway tells of a request that no backend server was asked for.
+func (handler *Handler) logTurnedAway(r *http.Request, terms *dialect.Terms, answer retry.Answer) {
+	if !handler.explain() {
+		return
+	}
+	_, version := handler.Entry.Rules()
+	now := handler.Clock()
+	handler.Log.Info("request: turned away", append([]zap.Field{
+		zap.String("request", terms.ID), zap.String("method", r.Method), zap.String("host", r.Host), zap.String("path", r.URL.Path),
+		zap.String("team", terms.Team), zap.Uint64("rules-version", version), zap.Duration("list-age", handler.Entry.ListAge(now)),
+	}, answerFields(now, answer)...)...)
 }
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/latency"
 )
 
 // exchange is one caller's request on its way; one goroutine owns it and takes in its events.
@@ -34,6 +35,7 @@
 	doubtful    []*entry.Grant // of backend servers that were silent or could not be reached
 	heldBytes   int64          // of answers read before they are passed on
 	terms       dialect.Terms  // the caller's word
+	trail       trail          // of log lines
 	spare       *attempt       // a failure that a backend server answered, passed on when nothing better comes
 	spareRan    bool           // the server ran the request
 	startedAt   time.Time
@@ -54,6 +56,7 @@
 	held     *heldBody // of an answer that is read before it is passed on
 	hedge    bool      // a refused hedge may be tried again
 	id       uint64    // of the ask that a decision answers
+	askedAt  time.Time // the time of that ask
 }
 
 // eventRoom holds the events of all attempts, so that none blocks after the exchange has ended.
@@ -164,7 +167,9 @@
 	if verdict.Answer == idempotency.NotReady {
 		exchange.settle(idempotency.Settlement{NotRun: true})
 	}
-	exchange.handler.answer(exchange.w, exchange.r, claimAnswer(verdict))
+	answer := claimAnswer(verdict)
+	exchange.logGivenUp(answer)
+	exchange.handler.answer(exchange.w, exchange.r, answer)
 	return false
 }
 
@@ -219,8 +224,10 @@
 			return
 		}
 	}
+	askedAt := exchange.now()
 	grant, decision := exchange.handler.Entry.AcquireAny(exchange.ctx, exchange.slice, ask)
-	exchange.post(event{id: ask.Attempt, grant: grant, decision: &decision})
+	latency.Get("grant.waits", exchange.handler.Metrics).Observe(exchange.now().Sub(askedAt))
+	exchange.post(event{id: ask.Attempt, grant: grant, decision: &decision, askedAt: askedAt})
 }
 
 // take handles an event and reports whether the exchange has ended.
@@ -245,13 +252,13 @@
 
 // decided follows a grant or a refusal.
 func (exchange *exchange) decided(e event) bool {
+	waited := exchange.now().Sub(e.askedAt)
 	if e.grant == nil {
+		exchange.logRefused(e.decision, waited)
 		return exchange.do(exchange.request.Refused(e.decision.Verdict, e.decision.RetryAt))
 	}
 	exchange.request.Granted(e.grant.Server)
-	if exchange.request.Number() > 1 {
-		exchange.logRetried(e.grant)
-	}
+	exchange.logPlaced(e.grant, waited)
 	if exchange.claim != nil && !exchange.now().Before(exchange.writeBy) && !exchange.claimAgain(e.grant) {
 		return true
 	}
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -48,7 +48,7 @@
 	}
 	err := download.run()
 	if err != nil {
-		exchange.handler.Log.Info("caller: an answer was broken off", zap.String("backend-server", a.grant.Server), zap.Error(err))
+		exchange.logBrokenOff(download.attempt, err)
 		// The connection is cut, so that the caller sees that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
@@ -68,7 +68,7 @@
 	exchange.w.WriteHeader(a.response.StatusCode)
 	download := &download{exchange: exchange, attempt: a}
 	if err := download.copy(); err != nil {
-		exchange.handler.Log.Info("caller: a failure answer was broken off", zap.String("backend-server", a.grant.Server), zap.Error(err))
+		exchange.logBrokenOff(a, err)
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -108,7 +108,7 @@
 		if resumeErr := download.resume(first); resumeErr != nil {
 			return fmt.Errorf("%w; %w", err, resumeErr)
 		}
-		exchange.handler.Log.Info("caller: an answer goes on from another backend server", zap.String("backend-server", download.attempt.grant.Server), zap.Int64("offset", download.offset))
+		exchange.tell("request: its answer goes on from another backend server", zap.String("backend-server", download.attempt.grant.Server), zap.Int64("offset", download.offset), zap.Error(err))
 	}
 }
 
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -20,6 +20,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/split"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/latency"
 )
 
 // DirectoryPath answers which addresses to use: ?service=NAME[&failure-domain=NAME][&region=NAME].
@@ -54,6 +55,8 @@
 	splits   map[string]*split.Sequence // by host and prefix of a split route
 	held     atomic.Int64               // bytes of answers that are held
 	once     sync.Once
+
+	narration narration
 }
 
 func (handler *Handler) init() {
@@ -85,7 +88,7 @@
 	ctx, span := handler.Tracer.Start(ctx, "caller")
 	defer span.End()
 	handler.serveRouted(w, r.WithContext(ctx))
-	metrics.GetOrRegisterTimer("caller.requests", handler.Metrics).UpdateSince(started)
+	latency.Get("caller.requests", handler.Metrics).Observe(handler.Clock().Sub(started))
 }
 
 func (handler *Handler) serveOwn(w http.ResponseWriter, r *http.Request) {
@@ -104,40 +107,41 @@
 
 func (handler *Handler) serveRouted(w http.ResponseWriter, r *http.Request) {
 	now := handler.Clock()
+	// What is wrong with the terms is told once the request has a route.
+	terms, termsErr := handler.Dialect.Terms(now, r)
 	set, version := handler.Entry.Rules()
 	if version == 0 {
-		handler.refuse(w, r, retry.ReasonNoRules, now.Add(noRulesRetry))
+		handler.refuse(w, r, &terms, retry.ReasonNoRules, now.Add(noRulesRetry))
 		return
 	}
 	route := set.Route(r.Method, r.Host, r.URL.Path)
 	if route == nil {
-		handler.refuse(w, r, retry.ReasonNoRoute, time.Time{})
+		handler.refuse(w, r, &terms, retry.ReasonNoRoute, time.Time{})
 		return
 	}
 	if handler.Entry.IsStopping() {
-		handler.refuse(w, r, retry.ReasonStopping, now)
+		handler.refuse(w, r, &terms, retry.ReasonStopping, now)
 		return
 	}
-	terms, err := handler.Dialect.Terms(now, r)
-	if err != nil {
-		handler.refuse(w, r, retry.ReasonBadRequest, time.Time{})
+	if termsErr != nil {
+		handler.refuse(w, r, &terms, retry.ReasonBadRequest, time.Time{})
 		return
 	}
 	terms.Deadline = earlier(now.Add(route.Deadline), terms.Deadline)
 	if retryAt, admitted := handler.Entry.Admit(r.Context(), terms.Team); !admitted {
-		handler.refuse(w, r, retry.ReasonLimit, retryAt)
+		handler.refuse(w, r, &terms, retry.ReasonLimit, retryAt)
 		return
 	}
 	if most := set.Callers().BodyBytes; most > 0 {
 		if r.ContentLength > most {
-			handler.refuse(w, r, retry.ReasonTooLarge, time.Time{})
+			handler.refuse(w, r, &terms, retry.ReasonTooLarge, time.Time{})
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, most)
 	}
 	body, err := readBody(w, r)
 	if err != nil {
-		handler.refuse(w, r, retry.ReasonBadRequest, time.Time{})
+		handler.refuse(w, r, &terms, retry.ReasonBadRequest, time.Time{})
 		return
 	}
 	service := set.Service(route.Pick(handler.point(route)))
@@ -145,8 +149,15 @@
 }
 
 // refuse answers a request of which nothing was sent to a backend server.
-func (handler *Handler) refuse(w http.ResponseWriter, r *http.Request, reason retry.Reason, retryAt time.Time) {
-	handler.answer(w, r, retry.Answer{Truth: retry.NotRun, Reason: reason, RetryAt: retryAt})
+func (handler *Handler) refuse(w http.ResponseWriter, r *http.Request, terms *dialect.Terms, reason retry.Reason, retryAt time.Time) {
+	answer := retry.Answer{Truth: retry.NotRun, Reason: reason, RetryAt: retryAt}
+	handler.logTurnedAway(r, terms, answer)
+	handler.answer(w, r, answer)
+}
+
+// count adds to a counter of the instance's metrics.
+func (handler *Handler) count(name string) {
+	metrics.GetOrRegisterCounter(name, handler.Metrics).Inc(1)
 }
 
 // earlier returns the earlier of two deadlines, of which the second may be zero for none.
--- a/adapters/peer/yamux/client.go
+++ b/adapters/peer/yamux/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -24,6 +25,7 @@
 const (
 	dialTimeout   = 250 * time.Millisecond
 	unreachedFor  = time.Second            // a peer that failed is passed over until then
+	silentMost    = time.Minute            // a peer that did not come back by then has another name if it does
 	retireAfter   = 5 * time.Second        // a link that fell silent is closed, for replies that are only late
 	recheckQueued = 500 * time.Millisecond // a queued ask is sent again, to notice a silent home
 )
@@ -42,8 +44,10 @@
 	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu        sync.Mutex
-	links     map[string]*link // by peer name
-	unreached map[string]time.Time
+	links     map[string]*link     // by peer name
+	unreached map[string]time.Time // deadlines until which peers that failed are passed over
+	silent    map[string]time.Time // when peers that have not answered since fell silent
+	anySilent atomic.Bool
 }
 
 // link is a session to one peer.
@@ -63,13 +67,50 @@
 	return !client.Clock().Before(client.unreached[peer])
 }
 
-func (client *Client) markUnreached(peer string) {
+// markUnreached has a peer that failed passed over for a while.
+func (client *Client) markUnreached(peer, op string, cause error) {
+	now := client.Clock()
 	client.mu.Lock()
-	defer client.mu.Unlock()
 	if client.unreached == nil {
-		client.unreached = map[string]time.Time{}
+		client.unreached, client.silent = map[string]time.Time{}, map[string]time.Time{}
+	}
+	client.unreached[peer] = now.Add(unreachedFor)
+	_, known := client.silent[peer]
+	if !known {
+		client.forgetSilent(now)
+		client.silent[peer] = now
+		client.anySilent.Store(true)
+	}
+	client.mu.Unlock()
+	if !known {
+		client.Log.Info("peer: it does not answer and is passed over", zap.String("peer", peer), zap.String("op", op),
+			zap.Duration("silence", client.Silence), zap.Duration("passed-over-for", unreachedFor), zap.Error(cause))
+	}
+}
+
+// forgetSilent forgets peers that fell silent long ago: they are gone. The lock is held.
+func (client *Client) forgetSilent(now time.Time) {
+	for peer, since := range client.silent {
+		if now.Sub(since) >= silentMost {
+			delete(client.silent, peer)
+			delete(client.unreached, peer)
+		}
+	}
+}
+
+// markAnswered notes a sign of life of a peer.
+func (client *Client) markAnswered(peer string) {
+	if !client.anySilent.Load() {
+		return
+	}
+	client.mu.Lock()
+	since, silent := client.silent[peer]
+	delete(client.silent, peer)
+	client.anySilent.Store(len(client.silent) > 0)
+	client.mu.Unlock()
+	if silent {
+		client.Log.Info("peer: it answers again", zap.String("peer", peer), zap.Duration("silent-for", client.Clock().Sub(since)))
 	}
-	client.unreached[peer] = client.Clock().Add(unreachedFor)
 }
 
 // Close ends all sessions.
@@ -97,7 +138,7 @@
 	}
 	opened, err := client.open(ctx, to)
 	if err != nil {
-		client.markUnreached(to.Name)
+		client.markUnreached(to.Name, "dial", err)
 		return nil, &Error{Op: "dial", Kind: KindDown, Peer: to.Name, Err: err}
 	}
 	client.mu.Lock()
@@ -169,6 +210,7 @@
 			}
 			return
 		}
+		client.markAnswered(l.peer.Name)
 		client.OnVersions(l.peer, frame.GetRulesVersion(), frame.GetTableEpoch())
 		l.mu.Lock()
 		replies := l.pending[frame.GetId()]
@@ -242,7 +284,7 @@
 }
 
 func (client *Client) failed(op string, kind Kind, to entry.Peer, err error) error {
-	client.markUnreached(to.Name)
+	client.markUnreached(to.Name, op, err)
 	if kind == KindSilent {
 		client.retire(to.Name)
 	}
--- a/command/daemon.go
+++ b/command/daemon.go
@@ -9,9 +9,11 @@
 	"syscall"
 
 	"github.com/integrii/flaggy"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/sequoiaspan/sequoiaspan/daemon"
+	"github.com/sequoiaspan/sequoiaspan/logs"
 	"github.com/sequoiaspan/sequoiaspan/platform"
 	"github.com/sequoiaspan/sequoiaspan/settings"
 	"github.com/sequoiaspan/sequoiaspan/version"
@@ -23,12 +25,6 @@
 	exitUsage  = 2 // also for settings with faults
 )
 
-// Volume of the log: of the lines with the same message, so many in a second are written, and after them one of so many.
-const (
-	logFirst      = 100
-	logThereafter = 100
-)
-
 // Daemon runs sequoiaspan, the daemon of an entry instance, and returns its exit code.
 func Daemon() int {
 	file := "/etc/sequoiaspan/settings.toml"
@@ -71,20 +67,23 @@
 }
 
 func runDaemon(loaded settings.Settings, file string) int {
-	log, atomicLevel, err := newLogger(loaded)
+	log, err := logs.Open(logs.Options{Level: loaded.LogLevel, Instance: loaded.Name})
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "log-level:", err)
+		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	defer func() { _ = log.Sync() }()
+	defer log.Close()
+	registry := metrics.NewRegistry()
+	log.Register(registry)
+	log.Info("daemon: starting", zap.String("version", version.Number), zap.String("settings", file), zap.Int("pid", os.Getpid()))
 	stopping, force := signals()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	d := &daemon.Daemon{Settings: loaded, Log: log, Reloading: daemon.Reloading{
-		File: file, Environment: os.Environ(), Signal: reload, Level: atomicLevel,
+	d := &daemon.Daemon{Settings: loaded, Log: log.Logger, Metrics: registry, Reloading: daemon.Reloading{
+		File: file, Environment: os.Environ(), Signal: reload, Level: log.Level,
 	}}
 	if loaded.Platform == settings.PlatformMetadataStore {
-		d.Platform = platform.New(loaded, log)
+		d.Platform = platform.New(loaded, log.Logger, registry)
 	}
 	if err := d.Run(stopping, force); err != nil {
 		log.Error("daemon: ended with an error", zap.Error(err))
@@ -107,21 +106,3 @@
 	}()
 	return stopping, force
 }
-
-func newLogger(loaded settings.Settings) (*zap.Logger, zap.AtomicLevel, error) {
-	config := zap.NewProductionConfig()
-	level, err := zap.ParseAtomicLevel(loaded.LogLevel)
-	if err != nil {
-		return nil, level, err
-	}
-	config.OutputPaths = []string{"stdout"}
-	config.Sampling = &zap.SamplingConfig{Initial: logFirst, Thereafter: logThereafter}
-	config.Level = level
-	config.DisableStacktrace = true
-	config.DisableCaller = true
-	log, err := config.Build()
-	if err != nil {
-		return nil, level, err
-	}
-	return log.With(zap.String("instance", loaded.Name)), level, nil
-}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -75,6 +75,19 @@
 	NotNeeded
 )
 
+// verdictNames are the names in logs.
+var verdictNames = [...]string{
+	"granted", "queued", "full", "no-server", "over-budget", "quarantined", "limited", "not-ready", "not-needed",
+}
+
+// String returns the verdict's name in logs.
+func (verdict Verdict) String() string {
+	if int(verdict) < len(verdictNames) {
+		return verdictNames[verdict]
+	}
+	return "unknown"
+}
+
 // Decision answers an Ask.
 type Decision struct {
 	Attempt   uint64
@@ -99,6 +112,7 @@
 	queue    queue
 	meanHeld time.Duration // for which a slot is held
 	ready    []Decision
+	changes  []Change
 	rate     limit.Bucket
 
 	budget       budget // of retries and hedges
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -104,6 +104,9 @@
 	added := 0.0
 	if s != nil {
 		added = pool.judge(now, s, report, g)
+		if pool.policy.Placement == rules.Proven {
+			pool.noteChance(now, s, report)
+		}
 	}
 	if s != nil && report.Reused && !report.Overdue {
 		s.connections.reused(now)
@@ -123,7 +126,10 @@
 
 // judge adds a report to a server's evidence, and returns what a failure added.
 func (pool *Pool) judge(now time.Time, s *server, report Report, g grant) float64 {
-	s.member.Leaving = s.member.Leaving || report.Leaving
+	if report.Leaving && !s.member.Leaving {
+		s.member.Leaving = true
+		pool.note(now, Leaves, s, report)
+	}
 	pool.noteFingerprint(now, s, report)
 	switch {
 	case report.Overdue && s.cold(now) && !g.patient:
@@ -151,8 +157,13 @@
 	}
 	switch report.Outcome {
 	case Reset, Truncated:
-		if !report.Reused {
-			pool.quarantine.Lost(now, report.Fingerprint, s.member.Name)
+		if report.Reused {
+			return
+		}
+		_, before := pool.quarantine.Until(now, report.Fingerprint)
+		pool.quarantine.Lost(now, report.Fingerprint, s.member.Name)
+		if _, after := pool.quarantine.Until(now, report.Fingerprint); after && !before {
+			pool.note(now, Crashes, s, report)
 		}
 	case Answered:
 		pool.quarantine.Ran(now, report.Fingerprint)
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -56,6 +56,7 @@
 	connections   connections
 	evidence      evidence
 	fault         fault
+	fails         bool // by the chance that it fails a request, see noteChance
 	recentAnswers recentAnswers
 	answeredAt    time.Time // latest answer in time
 	failedAt      time.Time // latest failure
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,7 +89,8 @@
 	Log       *zap.Logger
 	Platform  *Platform // nil for sequoiaspan's own store and instance list
 	Reloading Reloading
-	Stdout    io.Writer // of the stdout span exporter, os.Stdout if nil
+	Metrics   metrics.Registry // nil for one of its own
+	Stdout    io.Writer        // of the stdout span exporter, os.Stdout if nil
 	// Dial opens connections to peers, for tests that cut them; nil for the usual dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -119,7 +120,10 @@
 		return err
 	}
 	defer listeners.close()
-	registry := metrics.NewRegistry()
+	registry := daemon.Metrics
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
 	daemon.assemble(tracer, registry)
 	err = daemon.serve(ctx, force, listeners, tracer, registry)
 	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
--- a/dialect/native.go
+++ b/dialect/native.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
@@ -47,9 +48,9 @@
 // Native is sequoiaspan's own dialect.
 type Native struct{}
 
-// Terms reads the deadline (RFC 3339), the team and the idempotency key.
+// Terms reads the trace as the request's id, the deadline (RFC 3339), the team and the idempotency key.
 func (Native) Terms(_ time.Time, request *http.Request) (Terms, error) {
-	terms := Terms{Team: request.Header.Get(TeamHeader), Key: request.Header.Get(KeyHeader)}
+	terms := Terms{ID: traceID(request.Header.Get("Traceparent")), Team: request.Header.Get(TeamHeader), Key: request.Header.Get(KeyHeader)}
 	text := request.Header.Get(DeadlineHeader)
 	if text == "" {
 		return terms, nil
@@ -59,6 +60,15 @@
 	return terms, err
 }
 
+// traceID returns the id in a W3C traceparent, or nothing.
+func traceID(parent string) string {
+	parts := strings.Split(parent, "-")
+	if len(parts) < 4 || len(parts[1]) != 32 {
+		return ""
+	}
+	return parts[1]
+}
+
 // Prepare tells the server the deadline.
 func (Native) Prepare(header http.Header, attempt Attempt) {
 	for _, name := range []string{OutcomeHeader, ReasonHeader, StateHeader} {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -186,8 +186,10 @@
 	}
 	entry.members.retries = entry.Retries
 	entry.keys.keeper.Self = entry.Incarnation
-	entry.homes.init(false)
-	entry.alone.init(true)
+	log := &beliefs{name: entry.Name, log: entry.Log}
+	entry.homes.init(false, log)
+	entry.alone.init(true, log)
+	entry.registerGauges()
 	entry.members.init()
 	entry.lists.init()
 	entry.left, entry.leave = context.WithCancel(context.Background())
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -165,6 +165,20 @@
 	return grant, decision
 }
 
+// aloneDecider stands for the decider of a grant that was made without any home.
+const aloneDecider = "none, all homes are silent"
+
+// DecidedBy returns the name of the instance that granted.
+func (grant *Grant) DecidedBy() string {
+	switch {
+	case grant.local == nil:
+		return grant.peer.Name
+	case grant.local.alone:
+		return aloneDecider
+	}
+	return grant.entry.Name
+}
+
 // Overdue reports that no first byte came by the time of suspicion; the grant goes on.
 func (grant *Grant) Overdue(reused bool) {
 	grant.report(pool.Report{Overdue: true, Reused: reused})
@@ -173,7 +187,7 @@
 // Done ends the grant with the outcome of the attempt.
 func (grant *Grant) Done(report pool.Report) {
 	grant.entry.held.remove(grant.ask.Attempt)
-	grant.entry.count("backend." + report.Outcome.String())
+	grant.entry.count("backend.attempts{outcome=" + report.Outcome.String() + "}")
 	grant.report(report)
 }
 
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -20,6 +20,7 @@
 // homes holds pools in shards, each under its own lock.
 type homes struct {
 	alone  bool // one slot for each server, without the other instances' word
+	log    *beliefs
 	shards [homeShards]homeShard
 }
 
@@ -33,10 +34,11 @@
 	pool    pool.Pool
 	waiting map[uint64]func(pool.Decision) // by attempt
 	version uint64                         // of rules and list that the pool follows
+	home    string                         // of the slice by that version
 }
 
-func (homes *homes) init(alone bool) {
-	homes.alone = alone
+func (homes *homes) init(alone bool, log *beliefs) {
+	homes.alone, homes.log = alone, log
 	for i := range homes.shards {
 		homes.shards[i].pools = map[home.Slice]*slicePool{}
 	}
@@ -55,10 +57,13 @@
 		sp = &slicePool{waiting: map[uint64]func(pool.Decision){}}
 		shard.pools[slice] = sp
 	}
+	before := sp.home
 	homes.refresh(now, members, slice, sp)
 	f(sp)
-	deliveries := sp.deliveries()
+	deliveries, changes, after := sp.deliveries(), sp.pool.TakeChanges(), sp.home
 	shard.mu.Unlock()
+	homes.log.decider(slice, homes.alone, before, after)
+	homes.log.changes(slice, homes.alone, changes)
 	for _, d := range deliveries {
 		d.to(d.decision)
 	}
@@ -70,7 +75,7 @@
 	if sp.version == plan.version {
 		return
 	}
-	sp.version = plan.version
+	sp.version, sp.home = plan.version, plan.place(slice).home.Name
 	policy, servers := plan.pool(slice)
 	if homes.alone {
 		policy.Slots = 1
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -149,6 +149,14 @@
 	return age
 }
 
+// ListAge returns how long ago the platform vouched for the lists, 0 for a platform whose list is polled.
+func (entry *Entry) ListAge(now time.Time) time.Duration {
+	if entry.Feed == nil {
+		return 0
+	}
+	return entry.listAge(now)
+}
+
 // readers returns the instances of this one's failure domain that read the lists for the others, the first one first.
 func (entry *Entry) readers() []instance.Entry {
 	plan := entry.members.plan()
--- a/entry/members.go
+++ b/entry/members.go
@@ -153,9 +153,11 @@
 		entry.listRead(list)
 		return
 	}
-	before := entry.members.view.Digest(now)
-	taken := entry.members.view.Apply(list)
-	changed := taken && entry.members.view.Digest(now) != before
+	view := &entry.members.view
+	before, entries, servers := view.Digest(now), view.Entries(now), view.Servers(now)
+	taken := view.Apply(list)
+	changed := taken && view.Digest(now) != before
+	instances, backends := instance.EntryDifference(entries, view.Entries(now)), instance.ServerDifference(servers, view.Servers(now))
 	entry.members.mu.Unlock()
 	if !taken {
 		entry.Log.Warn("instances: a stale or empty list was not taken")
@@ -163,11 +165,31 @@
 	}
 	if changed {
 		entry.members.rebuild(now, nil)
-		entry.Log.Info("instances: the list changed", zap.Int("entries", len(list.Entries)), zap.Int("backend-servers", len(list.Servers)))
+		entry.Log.Info("instances: the list changed",
+			zap.Int("entries", len(list.Entries)), zap.Int("backend-servers", len(list.Servers)), zap.Duration("list-age", entry.ListAge(now)),
+			zap.Dict("instances", differenceFields(instances)...), zap.Dict("servers", differenceFields(backends)...))
 	}
 	entry.listRead(list)
 }
 
+// mostNames bounds the names in a line on a changed list; the first reading and the loss of a rack change many.
+const mostNames = 16
+
+// differenceFields returns what a log line tells of a difference, without what is empty.
+func differenceFields(difference instance.Difference) []zap.Field {
+	var fields []zap.Field
+	for _, part := range []struct {
+		key   string
+		names []string
+	}{{"joined", difference.Joined}, {"leaving", difference.Left}, {"gone", difference.Gone}} {
+		if len(part.names) == 0 {
+			continue
+		}
+		fields = append(fields, zap.Int(part.key+"-count", len(part.names)), zap.Strings(part.key, part.names[:min(mostNames, len(part.names))]))
+	}
+	return fields
+}
+
 // MarkLeaving takes in another instance's own word that it is leaving.
 func (entry *Entry) MarkLeaving(name string) {
 	now := entry.Clock()
--- a/registry/announcer.go
+++ b/registry/announcer.go
@@ -92,7 +92,7 @@
 	err := f(limited)
 	switch {
 	case err == nil || kindOf(err) == KindEnded:
-		announcer.Contact.Heard(started, announcer.Clock())
+		announcer.Contact.Answered(started, announcer.Clock())
 	case ctx.Err() == nil:
 		announcer.Contact.Missed(announcer.Clock(), err)
 	}
--- a/registry/contact.go
+++ b/registry/contact.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+
+	"github.com/sequoiaspan/sequoiaspan/latency"
 )
 
 // returnGrace is how long records that lapsed during an outage of the store may need to come back after it.
@@ -13,19 +16,27 @@
 // The platform gives about two seconds.
 const returnGrace = 2 * time.Second
 
-// Contact knows whether the platform's store answers this instance; Log must be set. It is safe for concurrent use.
+// Contact knows whether the platform's store answers this instance; Log and Metrics must be set. It is safe for concurrent use.
 type Contact struct {
-	Log *zap.Logger
+	Log     *zap.Logger
+	Metrics metrics.Registry
 
 	mu      sync.Mutex
 	heardAt time.Time // start of the latest call that was answered
 	lost    bool
+	lostAt  time.Time     // start of the latest outage
 	backAt  time.Time     // end of the latest outage
 	changed chan struct{} // closed when contact is lost or regained
 	watches map[int]context.CancelFunc
 	next    int
 }
 
+// Answered notes that a call which the store answers at once was answered.
+func (contact *Contact) Answered(started, now time.Time) {
+	latency.Get("store.calls", contact.Metrics).Observe(now.Sub(started))
+	contact.Heard(started, now)
+}
+
 // Heard notes that a call was answered.
 func (contact *Contact) Heard(started, now time.Time) {
 	contact.mu.Lock()
@@ -38,17 +49,18 @@
 	}
 	contact.lost, contact.backAt = false, now
 	contact.signal()
-	contact.Log.Info("store: it answers again")
+	contact.Log.Info("store: it answers again", zap.Duration("away-for", now.Sub(contact.lostAt)))
 }
 
 // Missed notes that a call was not answered, and cancels the watches: they may wait on a connection that is dead.
 func (contact *Contact) Missed(now time.Time, err error) {
+	metrics.GetOrRegisterCounter("store.calls-failed", contact.Metrics).Inc(1)
 	contact.mu.Lock()
 	defer contact.mu.Unlock()
 	if contact.lost {
 		return
 	}
-	contact.lost = true
+	contact.lost, contact.lostAt = true, now
 	contact.signal()
 	for _, cancel := range contact.watches {
 		cancel()
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -106,7 +106,7 @@
 		return Batch{}, err
 	}
 	now := reader.Clock()
-	reader.Contact.Heard(started, now)
+	reader.Contact.Answered(started, now)
 	batch := Batch{Whole: true, Revision: revision, KeepUntil: reader.Contact.keepUntil(now)}
 	for _, record := range records {
 		batch.Events = append(batch.Events, Event{Record: record})
--- a/registry/reader_test.go
+++ b/registry/reader_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 )
@@ -75,7 +76,7 @@
 var errAway = &Error{Op: "script", Kind: KindAway}
 
 func newReader(store *script) *Reader {
-	return &Reader{Store: store, Contact: &Contact{Log: zap.NewNop()}, Log: zap.NewNop(), Clock: time.Now}
+	return &Reader{Store: store, Contact: &Contact{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}, Log: zap.NewNop(), Clock: time.Now}
 }
 
 func record(key, value string, revision uint64) Record {
@@ -144,7 +145,7 @@
 func TestAnnouncerTakesANewLeaseWhenItsOwnHasEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &script{renewals: []error{errAway, &Error{Op: "script", Kind: KindEnded}}}
-		announcer := &Announcer{Store: store, Contact: &Contact{Log: zap.NewNop()}, Key: "a", Log: zap.NewNop(), Clock: time.Now}
+		announcer := &Announcer{Store: store, Contact: &Contact{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}, Key: "a", Log: zap.NewNop(), Clock: time.Now}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
