Use servers again while many requests are lost, two seconds after their last failure

While many requests are lost, the pool left out the 22 % of the servers that seem worst. Where most servers have a lasting trouble and few are sound, those that have just ended an episode are among the worst, and are a large part of the sound ones.

Change: while many are lost, a server whose last failure is two seconds old gets a request, also one of the worst.

--- a/core/pool/fault.go
+++ b/core/pool/fault.go
@@ -26,6 +26,7 @@
 	at       time.Time
 	tries    int // failed tries in a row
 	failedAt time.Time
+	lostAt   time.Time // latest failure that was no mere silence
 }
 
 // estimate moves the probability of the failing state on to now.
@@ -59,12 +60,20 @@
 // fail takes in a failure; one that says less about the server has a weight below 1.
 func (fault *fault) fail(now time.Time, weight float64) {
 	fault.observe(now, math.Pow(failsSick/failsWell, weight))
-	if weight > silenceWeight && now.Sub(fault.failedAt) > tryApart {
-		fault.tries++
+	if weight > silenceWeight {
+		fault.lostAt = now
+		if now.Sub(fault.failedAt) > tryApart {
+			fault.tries++
+		}
 	}
 	fault.failedAt = now
 }
 
+// failedWithin reports whether the latest failure is younger than an age.
+func (fault *fault) failedWithin(now time.Time, age time.Duration) bool {
+	return !fault.lostAt.IsZero() && now.Sub(fault.lostAt) < age
+}
+
 // observe applies a likelihood ratio of the failing state to the other one.
 func (fault *fault) observe(now time.Time, ratio float64) {
 	sick := fault.estimate(now)
--- a/core/pool/placement.go
+++ b/core/pool/placement.go
@@ -32,9 +32,11 @@
 	touchFar   = 300 * time.Millisecond  // later by one from another failure domain
 	touchable  = 0.3                     // chance of failure up to which that holds
 	// While more than this share of a service's requests is lost, what is known of its servers cannot be trusted: it holds for
-	// all but the worst, as many as the floor asks for and some more.
+	// all but the worst, as many as the floor asks for and some more, and for those of the worst that have not failed of late.
 	losingShare = 0.09
 	touchMore   = 0.08
+	// soundAfter is the time after its last failure from which the floor counts a server again.
+	soundAfter = 2 * time.Second
 )
 
 // choosePlaced returns the cheapest server for an ask, or nil when none has room.
@@ -86,7 +88,7 @@
 		if oldest != nil && !s.lastGrant.Before(oldest.lastGrant) {
 			continue
 		}
-		if s.fault.chance(now) < touchable || losing && !pool.worse(now, s) {
+		if s.fault.chance(now) < touchable || losing && (!s.fault.failedWithin(now, soundAfter) || !pool.worse(now, s)) {
 			oldest = s
 		}
 	}
--- a/core/pool/placement_test.go
+++ b/core/pool/placement_test.go
@@ -17,6 +17,7 @@
 // episodeLoad is the load of a service of which some servers fail most requests for a few seconds now and then, while
 // their health checks are good.
 type episodeLoad struct {
+	t         testing.TB
 	servers   int
 	perSecond float64
 	work      time.Duration
@@ -24,6 +25,10 @@
 	attempts  int
 	placement rules.Placement
 	fails     float64 // share of requests that fail at every server, besides episodes
+	// failing returns the share that fails at a server some time after the start, in place of episodes; nil for episodes.
+	failing func(server int, since time.Duration) float64
+	// sound reports whether a server counts for least; nil for all.
+	sound func(server int, since time.Duration) bool
 	// least is the smallest share of the servers that got requests within two seconds.
 	least float64
 }
@@ -60,14 +65,18 @@
 	grants := map[string]time.Time{}
 	load.least = 1
 	watch := func() {
-		served := 0
-		for _, granted := range grants {
-			if now.Sub(granted) <= 2*time.Second {
+		served, sound := 0, 0
+		for i := range load.servers {
+			if load.sound != nil && !load.sound(i, now.Sub(benchStart)) {
+				continue
+			}
+			sound++
+			if granted, found := grants[fmt.Sprintf("s%d", i)]; found && now.Sub(granted) <= 2*time.Second {
 				served++
 			}
 		}
-		if now.Sub(benchStart) > 5*time.Second {
-			load.least = min(load.least, float64(served)/float64(load.servers))
+		if now.Sub(benchStart) > 5*time.Second && sound > 0 {
+			load.least = min(load.least, float64(served)/float64(sound))
 		}
 	}
 	type request struct {
@@ -83,6 +92,12 @@
 		if (now.Sub(benchStart)+offsets[decision.Server])%episodeEvery < episodeLength {
 			fails = episodeFails
 		}
+		if load.failing != nil {
+			server := 0
+			_, err := fmt.Sscanf(decision.Server, "s%d", &server)
+			must.NoError(load.t, err)
+			fails = load.failing(server, now.Sub(benchStart))
+		}
 		bad := random.Float64() < fails
 		took := time.Duration((0.5 + random.ExpFloat64()/2) * float64(load.work))
 		if bad {
@@ -198,3 +213,39 @@
 		})
 	}
 }
+
+// TestFloorOfTheSoundServers has most servers of a slice fail a part of their requests for as long as it lasts, so that only a few
+// count as sound; some of these have just ended an episode. Each is used again within four seconds: it counts as sound two seconds
+// after its last failure, and the floor holds for any two seconds. Seen first on the day hunt-72a2-7 of fgs-gateway-grown.
+func TestFloorOfTheSoundServers(t *testing.T) {
+	const (
+		floor   = 0.7
+		soundly = 9 // of the servers
+		sick    = 4 // of these, by turns
+	)
+	turn := func(since time.Duration) (ends time.Duration, failing bool) {
+		begins := since.Truncate(20 * time.Second)
+		return begins + 8*time.Second, since-begins < 8*time.Second
+	}
+	load := episodeLoad{
+		t: t, servers: 25, perSecond: 80, work: 420 * time.Millisecond, unsafe: true, attempts: 2, placement: rules.Proven,
+		failing: func(server int, since time.Duration) float64 {
+			_, failing := turn(since)
+			switch {
+			case server >= soundly:
+				return 0.2
+			case server < sick && failing:
+				return 1
+			}
+			return 0
+		},
+		sound: func(server int, since time.Duration) bool {
+			ends, failing := turn(since)
+			return server < soundly && (server >= sick || !failing && since >= ends+4*time.Second)
+		},
+	}
+	for seed := range uint64(5) {
+		load.lost(seed)
+		must.GreaterEq(t, floor, load.least, must.Sprint("seed", seed))
+	}
+}
