Add a soak of real processes, and let a repeated SIGTERM drop nothing

The soak starts the program as separate processes with the stand-ins of the users' platform, puts loopback proxies before the store, the instances and the backend servers, and disturbs them from outside by a seed: signals, restarts, pauses, faults of the store and of paths, backend servers that fail, end, leave and come at addresses of others, configurations; in series and overlapping. It checks from what callers and backend servers see: never twice, refusals true, answers whole, only what was sent, routes, draining, configurations in force, requests kept through planned work, answers by the deadline, work ended when callers leave, recovery. Instances may now advertise a peer address that is not the one they listen on.

Cause: the second of two SIGTERMs ended the process at once; supervisors repeat SIGTERM. Only an interrupt does that now.

--- a/command/daemon.go
+++ b/command/daemon.go
@@ -37,7 +37,7 @@
 	flaggy.SetVersion(version.Number)
 	flaggy.DefaultParser.AdditionalHelpAppend = "\nExamples:\n  sequoiaspan run --settings settings.toml\n  sequoiaspan check-settings settings.toml\n\nEnvironment variables such as SEQUOIASPAN_CALLER_ADDRESS override the settings file."
 	serve := flaggy.NewSubcommand("run")
-	serve.Description = "serve as an entry instance until SIGTERM; a second signal ends at once"
+	serve.Description = "serve as an entry instance until SIGTERM or an interrupt; an interrupt after it ends at once"
 	serve.String(&file, "s", "settings", "settings file")
 	serve.String(&level, "l", "log-level", "debug, info, warn or error; overrides the settings")
 	check := flaggy.NewSubcommand("check-settings")
@@ -92,17 +92,26 @@
 	return 0
 }
 
-// signals returns a context that ends with the first signal to stop, and one that ends with the second.
+// signals returns a context that ends with the first signal to stop, and one that ends with an interrupt after it.
 func signals() (stopping, force context.Context) {
 	received := make(chan os.Signal, 2)
 	signal.Notify(received, syscall.SIGTERM, os.Interrupt)
+	return follow(received)
+}
+
+// follow returns the contexts for some received signals. Supervisors may repeat SIGTERM; only an operator's interrupt says that
+// requests in flight are to be dropped.
+func follow(received <-chan os.Signal) (stopping, force context.Context) {
 	stopping, stop := context.WithCancel(context.Background())
 	force, end := context.WithCancel(context.Background())
 	go func() {
 		<-received
 		stop()
-		<-received
-		end()
+		for s := range received {
+			if s == os.Interrupt {
+				end()
+			}
+		}
 	}()
 	return stopping, force
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -181,8 +181,12 @@
 	}
 	platform := daemon.Platform
 	daemon.backend = &backend.Backend{Dialect: platform.Dialect}
+	peer := s.Peer
+	if s.AdvertisedPeer.IsValid() {
+		peer = s.AdvertisedPeer
+	}
 	daemon.entry = &entry.Entry{
-		Name: s.Name, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: s.Peer, Operator: s.Operator, Incarnation: incarnation,
+		Name: s.Name, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: peer, Operator: s.Operator, Incarnation: incarnation,
 		FirstStart: s.FirstStart, DecideAlone: s.DecideAlone, Seeds: s.Seeds, Keep: time.Duration(s.Callers.Keep), Addresses: s.Callers.Addresses,
 		Retries:   entry.Retries{Share: s.Retries.Share, Burst: homeBurst * s.Retries.Burst},
 		Intervals: entry.Intervals{List: time.Duration(s.Intervals.InstanceList), Table: time.Duration(s.Intervals.KeyTable)},
--- a/settings/check.go
+++ b/settings/check.go
@@ -92,6 +92,9 @@
 	if settings.Caller.Addr().IsUnspecified() || settings.Peer.Addr().IsUnspecified() {
 		c.fail("caller-address", "caller and peer addresses are told to others and must name one interface")
 	}
+	if settings.AdvertisedPeer.IsValid() {
+		c.address("advertised-peer-address", settings.AdvertisedPeer)
+	}
 	c.address("store-address", settings.Store)
 	switch settings.Platform {
 	case PlatformHTTP:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,30 +18,31 @@
 
 // Settings are all settings of an entry instance.
 type Settings struct {
-	Name          string           `toml:"name"`
-	Domain        string           `toml:"failure-domain"`
-	Region        string           `toml:"region"`
-	Caller        netip.AddrPort   `toml:"caller-address"`
-	Peer          netip.AddrPort   `toml:"peer-address"`
-	Operator      netip.AddrPort   `toml:"operator-address"`
-	Ready         netip.AddrPort   `toml:"ready-address"`
-	Directory     netip.AddrPort   `toml:"directory-address"`
-	Store         netip.AddrPort   `toml:"store-address"`
-	Instances     netip.AddrPort   `toml:"instance-list-address"`
-	Platform      Platform         `toml:"platform"`
-	Seeds         []netip.AddrPort `toml:"seeds"`
-	FirstStart    bool             `toml:"first-start"`
-	Grace         Duration         `toml:"grace"`
-	LogLevel      string           `toml:"log-level"`
-	Limits        Limits           `toml:"limits"`
-	Intervals     Intervals        `toml:"intervals"`
-	Traces        Traces           `toml:"traces"`
-	JitterSeed    uint64           `toml:"jitter-seed"`
-	GoMemoryLimit int64            `toml:"memory-limit-bytes"`
-	Callers       Callers          `toml:"callers"`
-	Retries       Retries          `toml:"retries"`
-	Floor         float64          `toml:"floor"`
-	DecideAlone   bool             `toml:"decide-alone"` // the instance shares no decisions; for comparisons only
+	Name           string           `toml:"name"`
+	Domain         string           `toml:"failure-domain"`
+	Region         string           `toml:"region"`
+	Caller         netip.AddrPort   `toml:"caller-address"`
+	Peer           netip.AddrPort   `toml:"peer-address"`
+	AdvertisedPeer netip.AddrPort   `toml:"advertised-peer-address"` // where other instances connect, Peer if not set
+	Operator       netip.AddrPort   `toml:"operator-address"`
+	Ready          netip.AddrPort   `toml:"ready-address"`
+	Directory      netip.AddrPort   `toml:"directory-address"`
+	Store          netip.AddrPort   `toml:"store-address"`
+	Instances      netip.AddrPort   `toml:"instance-list-address"`
+	Platform       Platform         `toml:"platform"`
+	Seeds          []netip.AddrPort `toml:"seeds"`
+	FirstStart     bool             `toml:"first-start"`
+	Grace          Duration         `toml:"grace"`
+	LogLevel       string           `toml:"log-level"`
+	Limits         Limits           `toml:"limits"`
+	Intervals      Intervals        `toml:"intervals"`
+	Traces         Traces           `toml:"traces"`
+	JitterSeed     uint64           `toml:"jitter-seed"`
+	GoMemoryLimit  int64            `toml:"memory-limit-bytes"`
+	Callers        Callers          `toml:"callers"`
+	Retries        Retries          `toml:"retries"`
+	Floor          float64          `toml:"floor"`
+	DecideAlone    bool             `toml:"decide-alone"` // the instance shares no decisions; for comparisons only
 }
 
 // Platform names the kind of platform that an instance runs on.
--- /dev/null
+++ b/testing/soak/ledger_test.go
@@ -0,0 +1,276 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Bounds of the promises, as the pages of the users' platform state them.
+const (
+	stableWindow = 3 * time.Second        // without trouble, after which an instance counts as undisturbed
+	drainMost    = 2 * time.Second        // until a server that leaves gets nothing more
+	configMost   = 2 * time.Second        // until a configuration is in force
+	overdueMost  = 500 * time.Millisecond // after the deadline, for an answer
+	recoverMost  = 15 * time.Second
+	graceTime    = 6 * time.Second
+	// someOverdue and someGone are counts from which a share is judged.
+	someOverdue = 8
+	someGone    = 8
+	// clockSlack is for the time that the soak's own goroutines wait for a processor.
+	clockSlack = 200 * time.Millisecond
+)
+
+// sent is a request of a caller.
+type sent struct {
+	id, method, path string
+	route            route
+	instance         string
+	at, deadline     time.Time
+	ended            time.Time // zero while it waits
+	status           int       // 0 without an answer
+	whole            bool      // the answer came whole
+	left             time.Time // when the caller gave up, zero if it did not
+	runs             []run
+}
+
+// run is a request's stay at a backend server.
+type run struct {
+	server, service string
+	at              time.Time
+	ended           time.Time // zero while it runs
+}
+
+// span is a time in which something is disturbed.
+type span struct {
+	what     string
+	from, to time.Time // to is zero while it lasts
+}
+
+// ledger is what callers and backend servers saw, and which promises it breaks.
+type ledger struct {
+	mu       sync.Mutex
+	requests map[string]*sent
+	spans    []span
+	draining map[string]time.Time // servers that leave, since when
+	allowed  map[string]map[string]bool
+	broken   []string
+	answered int
+	served   int
+}
+
+func newLedger() *ledger {
+	return &ledger{requests: map[string]*sent{}, draining: map[string]time.Time{}, allowed: map[string]map[string]bool{}}
+}
+
+// fail notes a broken promise; the lock is held.
+func (l *ledger) fail(promise, format string, args ...any) {
+	l.broken = append(l.broken, promise+": "+fmt.Sprintf(format, args...))
+}
+
+// disturb notes that something is disturbed until the returned function is called.
+func (l *ledger) disturb(what string) func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spans = append(l.spans, span{what: what, from: time.Now()})
+	i := len(l.spans) - 1
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.spans[i].to = time.Now()
+	}
+}
+
+// disturbed reports whether one of some things was disturbed in a time; the lock is held.
+func (l *ledger) disturbed(from, to time.Time, what ...string) bool {
+	for _, s := range l.spans {
+		if s.from.After(to) || !s.to.IsZero() && s.to.Before(from) {
+			continue
+		}
+		for _, w := range what {
+			if s.what == w {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// inTouch reports whether an instance and the store were undisturbed for the stable window and up to a time; the lock is held.
+func (l *ledger) inTouch(instance string, from, to time.Time) bool {
+	return !l.disturbed(from.Add(-stableWindow), to, "store", "all", instance, "process "+instance, "stop "+instance)
+}
+
+// allow notes that a configuration lets a route go to a service.
+func (l *ledger) allow(prefix, service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.allowed[prefix] == nil {
+		l.allowed[prefix] = map[string]bool{}
+	}
+	l.allowed[prefix][service] = true
+}
+
+// drains notes that the store has acknowledged that a server leaves.
+func (l *ledger) drains(server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining[server] = time.Now()
+}
+
+// send notes a request before it is sent.
+func (l *ledger) send(s *sent) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests[s.id] = s
+}
+
+// begin notes that a server begins to run a request, and returns how to note its end.
+func (l *ledger) begin(id, method, path, server, service string) func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	s := l.requests[id]
+	if s == nil {
+		l.fail("unasked", "%s runs %s %s with the id %q, which no caller sent", server, method, path, id)
+		return func() {}
+	}
+	if s.method != method || s.path != path {
+		l.fail("unasked", "request %s was sent as %s %s and runs as %s %s", id, s.method, s.path, method, path)
+	}
+	s.runs = append(s.runs, run{server: server, service: service, at: now})
+	if s.route.unsafe && len(s.runs) > 1 {
+		l.fail("twice", "request %s runs at %s and %s", id, s.runs[0].server, server)
+	}
+	if s.refused() {
+		l.fail("refused", "request %s was refused with %d and runs at %s %s later", id, s.status, server, now.Sub(s.ended))
+	}
+	if !l.allowed[s.route.prefix][service] {
+		l.fail("route", "request %s of %s runs at %s of %s", id, s.route.prefix, server, service)
+	}
+	if since, leaving := l.draining[server]; leaving && now.Sub(since) > drainMost+clockSlack && s.at.After(since.Add(drainMost)) && l.inTouch(s.instance, since, now) {
+		l.fail("drain", "request %s by %s runs at %s, which has been leaving for %s", id, s.instance, server, now.Sub(since))
+	}
+	i := len(s.runs) - 1
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		s.runs[i].ended = time.Now()
+	}
+}
+
+// refused reports whether a request was answered that it has not run and will not.
+func (s *sent) refused() bool { return s.route.unsafe && (s.status == 429 || s.status == 503) }
+
+// end notes the end of a request: its status, 0 without an answer, and whether the answer is whole and the right one.
+func (l *ledger) end(s *sent, status int, whole bool, wrong string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.ended, s.status, s.whole = time.Now(), status, whole
+	if !s.left.IsZero() {
+		return
+	}
+	l.answered++
+	if status == 200 && whole {
+		l.served++
+	}
+	if wrong != "" {
+		l.fail("mixed", "request %s: %s", s.id, wrong)
+	}
+	if s.refused() && len(s.runs) > 0 {
+		l.fail("refused", "request %s was refused with %d and has run at %s", s.id, status, s.runs[0].server)
+	}
+	l.judgeLost(s)
+	if status == 404 && s.at.After(s.route.since.Add(configMost+clockSlack)) && l.inTouch(s.instance, s.route.since, s.ended) {
+		l.fail("config", "request %s to %s: 404 from %s, %s after its route was written", s.id, s.route.prefix, s.instance, s.at.Sub(s.route.since))
+	}
+}
+
+// judgeLost checks that a request which a server runs gets its answer, whatever is planned with the instance meanwhile.
+func (l *ledger) judgeLost(s *sent) {
+	if s.whole || s.status != 0 && s.status != 200 || len(s.runs) == 0 || s.ended.After(s.deadline) {
+		return
+	}
+	if l.disturbed(s.at.Add(-stableWindow), s.ended, "process "+s.instance, "all") {
+		return
+	}
+	for _, r := range s.runs {
+		if l.disturbed(s.at, s.ended, "server "+r.server) {
+			return
+		}
+	}
+	l.fail("lost", "request %s ran at %s, and its connection to %s ended without an answer", s.id, s.runs[0].server, s.instance)
+}
+
+// judge checks what can be judged at the end only.
+func (l *ledger) judge() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	overdue, late, left, worked := 0, 0, 0, 0
+	example := ""
+	for _, s := range l.requests {
+		if l.disturbed(s.at.Add(-stableWindow), s.deadline.Add(overdueMost), "process "+s.instance, "all") {
+			continue
+		}
+		if !s.left.IsZero() {
+			for _, r := range s.runs {
+				if r.at.After(s.left) || !s.route.unsafe && !r.ended.IsZero() && r.ended.Sub(s.left) > 2*overdueMost {
+					worked++
+				}
+			}
+			left++
+			continue
+		}
+		if s.ended.IsZero() || s.ended.After(s.deadline) {
+			overdue++
+		}
+		if s.ended.IsZero() || s.ended.After(s.deadline.Add(overdueMost+clockSlack)) {
+			late++
+			example = s.id
+		}
+	}
+	if late >= someOverdue && 2*late > overdue {
+		l.fail("overdue", "%d of %d requests that reached their deadline have no answer %s later, such as %s", late, overdue, overdueMost, example)
+	}
+	if worked >= someGone && 4*worked > left {
+		l.fail("gone", "servers still work on %d of %d requests whose callers have left", worked, left)
+	}
+}
+
+// report returns the broken promises, the first of each.
+func (l *ledger) report() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen, counts := map[string]string{}, map[string]int{}
+	var order []string
+	for _, b := range l.broken {
+		promise, _, _ := strings.Cut(b, ":")
+		if counts[promise]++; counts[promise] == 1 {
+			order = append(order, promise)
+			seen[promise] = b
+		}
+	}
+	var lines []string
+	for _, promise := range order {
+		lines = append(lines, fmt.Sprintf("%s (%d in all)", seen[promise], counts[promise]))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// since returns the share of the requests sent after a time that were served, and their number.
+func (l *ledger) since(from time.Time) (float64, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all, served := 0, 0
+	for _, s := range l.requests {
+		if s.at.Before(from) || s.ended.IsZero() || !s.left.IsZero() {
+			continue
+		}
+		all++
+		if s.status == 200 && s.whole {
+			served++
+		}
+	}
+	return float64(served) / float64(max(1, all)), all
+}
--- /dev/null
+++ b/testing/soak/soak_test.go
@@ -0,0 +1,116 @@
+// Package soak runs the real program as separate processes, disturbs them from outside, and checks what callers and backend
+// servers see.
+//
+// A seed gives the faults and their times; how they meet the processes' own timing differs from run to run.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	seeds     = flag.Int("seeds", 3, "how many seeds to play")
+	firstSeed = flag.Uint64("from", 1, "first seed")
+	size      = flag.Int("instances", 6, "entry instances, each a process")
+	verbose   = flag.Bool("plan", false, "print the plans")
+)
+
+// Times of one seed.
+const (
+	startTime   = 20 * time.Second
+	settleTime  = 3 * time.Second // of traffic after the recovery, by which it is judged
+	leastServed = 0.9             // share of that traffic; nothing is disturbed any more
+)
+
+// failedSeeds are those that ever failed, each with its cause; they are played on each run.
+var failedSeeds = []uint64{
+	112, // a repeated SIGTERM ended the process and the requests in flight with it
+}
+
+// TestSoak plays plans of faults.
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "sequoiaspan")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../../cmd/sequoiaspan").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	played := failedSeeds
+	for i := range *seeds {
+		played = append(played, *firstSeed+uint64(i))
+	}
+	for _, seed := range played {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, program, seed)
+		})
+	}
+}
+
+func playSeed(t *testing.T, program string, seed uint64) {
+	logs, err := os.MkdirTemp("", fmt.Sprintf("sequoiaspan-soak-%d-", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := newPlan(seed)
+	if *verbose {
+		for _, s := range plan {
+			t.Log(s)
+		}
+	}
+	w := newWorld(t, program, logs, *size, 8)
+	if !w.await(startTime) {
+		t.Fatalf("the fleet is not ready %s after its start, logs in %s", startTime, logs)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var calls sync.WaitGroup
+	for i := range callers {
+		calls.Go(func() { w.newCaller(i, seed).run(ctx) })
+	}
+	began := time.Now()
+	for _, s := range plan {
+		time.Sleep(time.Until(began.Add(s.at)))
+		w.play(s)
+	}
+	w.busy.Wait()
+	recovered := w.await(recoverMost)
+	healed := time.Now()
+	time.Sleep(settleTime)
+	cancel()
+	calls.Wait()
+	w.ledger.judge()
+	share, count := w.ledger.since(healed)
+	broken := w.ledger.report()
+	t.Logf("%d requests answered, %d served; after the recovery %.3f of %d", w.ledger.answered, w.ledger.served, share, count)
+	switch {
+	case !recovered:
+		broken += fmt.Sprintf("\nrecover: not all instances are ready %s after the last trouble", recoverMost)
+	case share < leastServed:
+		broken += fmt.Sprintf("\nrecover: %.3f of %d requests are served once all instances are ready", share, count)
+	}
+	if broken == "" {
+		_ = os.RemoveAll(logs)
+		return
+	}
+	for _, s := range plan {
+		t.Log(s)
+	}
+	t.Errorf("broken promises, logs in %s:\n%s", logs, broken)
+}
+
+// await waits until all instances are ready, and reports whether they are in time.
+func (w *world) await(most time.Duration) bool {
+	deadline := time.Now().Add(most)
+	for _, in := range w.instances {
+		w.awaitReady(in)
+	}
+	return !time.Now().After(deadline)
+}
