--- a/adapters/caller/http/decisions.go
+++ b/adapters/caller/http/decisions.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	backend "github.com/sequoiaspan/sequoiaspan/adapters/backend/http"
 	"github.com/sequoiaspan/sequoiaspan/core/limit"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
@@ -173,6 +174,8 @@
 		zap.Duration("attempt-age", now.Sub(a.sentAt)), zap.Duration("first-byte", a.firstByte),
 	}
 	switch {
+	case backend.IsServerError(a.response.StatusCode):
+		exchange.logPassedOn(a, retry.Ran)
 	case exchange.trail.begun || exchange.isLate(now):
 		exchange.tell("request: answered", append(fields, zap.Bool("late", exchange.isLate(now)))...)
 	case exchange.handler.narration.sample(now):
