--- a/core/pool/placement.go
+++ b/core/pool/placement.go
@@ -31,14 +31,9 @@
 	touchAgain = 1200 * time.Millisecond // by one that can be tried again, which finds out at little cost
 	touchFar   = 300 * time.Millisecond  // later by one from another failure domain
 	touchable  = 0.2                     // chance of failure up to which that holds
-	// While more than this share of a service's requests is lost, what is known of its servers cannot be trusted: it holds for
-	// those with a higher chance of failure, too, and for all but the worst, as many as the floor asks for and some more, and for
-	// those of the worst that have not failed of late.
-	losingShare     = 0.09
-	losingTouchable = 0.55 // chance of failure after one error
-	touchMore       = 0.08
-	// soundAfter is the time after its last failure from which the floor counts a server again.
-	soundAfter = 2 * time.Second
+	// A server that likely fails rests for this time after its latest failure. The floor counts it again two seconds after that
+	// failure, and then it must get a request within two more.
+	restLength = 3200 * time.Millisecond
 )
 
 // choosePlaced returns the cheapest server for an ask, or nil when none has room.
@@ -74,8 +69,7 @@
 		return nil
 	}
 	within := touchOnce
-	losing := pool.requests.losing(now, losingShare)
-	if ask.retriable() || losing {
+	if ask.retriable() {
 		within = touchAgain
 	}
 	var oldest *server
@@ -90,33 +84,13 @@
 		if oldest != nil && !s.lastGrant.Before(oldest.lastGrant) {
 			continue
 		}
-		if s.fault.chance(now) < touchable || losing && pool.isDoubtful(now, s) {
+		if s.fault.chance(now) < touchable || !s.fault.failedWithin(now, restLength) {
 			oldest = s
 		}
 	}
 	return oldest
 }
 
-// isDoubtful reports whether a server is to be used although it seems to fail, while many requests are lost.
-func (pool *Pool) isDoubtful(now time.Time, s *server) bool {
-	return s.fault.chance(now) < losingTouchable || !s.fault.failedWithin(now, soundAfter) || !pool.worse(now, s)
-}
-
-// worse reports whether enough other servers for the floor are less likely to fail than a server.
-func (pool *Pool) worse(now time.Time, than *server) bool {
-	chance, better, all := than.fault.chance(now), 0, 0
-	for _, s := range pool.servers {
-		if s.member.Leaving {
-			continue
-		}
-		all++
-		if s != than && s.fault.chance(now) < chance {
-			better++
-		}
-	}
-	return float64(better) >= (pool.policy.Floor+touchMore)*float64(all)
-}
-
 // betterWaits reports whether an ask does better to wait for a slot of a busy server than to take the best free one.
 func (pool *Pool) betterWaits(now time.Time, ask *Ask, best *server) bool {
 	if ask.Hedge || ask.NoWait || !ask.since.IsZero() && now.Sub(ask.since) >= betterWait {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -118,7 +118,6 @@
 	budget       budget // of retries and hedges
 	verifyBudget budget // of verifications
 	baseline     rate   // events of all servers
-	requests     recentRate
 	vantages     vantages
 	quarantine   quarantine.Quarantine
 	ended        recent
@@ -155,7 +154,6 @@
 	overdue     bool
 	verifies    bool // sent to a suspect to confirm or clear it
 	patient     bool // the time of suspicion is that of a cold start
-	last        bool // a failure ends the request
 }
 
 // SetPolicy replaces the policy.
@@ -270,7 +268,7 @@
 func (pool *Pool) grant(now time.Time, ask *Ask, s *server, r rank) Decision {
 	g := grant{
 		server: s, entry: ask.Entry, team: ask.Team, grantedAt: now, expires: now.Add(leaseLength), verifies: r == rankVerify, fingerprint: ask.Fingerprint,
-		patient: ask.Verify != "" && s.cold(now), last: !ask.retriable(),
+		patient: ask.Verify != "" && s.cold(now),
 	}
 	pool.grants[ask.Attempt] = g
 	s.inFlight++
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -231,7 +231,6 @@
 
 // refuse ends the wait of an ask.
 func (pool *Pool) refuse(now time.Time, ask Ask) {
-	pool.requests.add(now, 1)
 	pool.ready = append(pool.ready, Decision{Attempt: ask.Attempt, Verdict: Full, RetryAt: now.Add(max(fullRetryAfter, pool.expectedWait(ask.Priority)))})
 }
 
