Leave servers that a request excludes out of the floor's tries, one wait, a lease without a length that nobody uses

Found by reading. A request that has been told of a leaving server excludes it, and got it again as one that had no request for long, up to eight times; TestExcludedServersAreNotUsedForTheFloor fails before. registry.pause and entry.sleep were one function twice: wait.For.

--- a/core/pool/placement.go
+++ b/core/pool/placement.go
@@ -78,7 +78,7 @@
 		if s.member.Domain != ask.Domain {
 			due = due.Add(touchFar)
 		}
-		if s.member.Leaving || now.Before(due) || s.member.Domain != ask.Domain && ask.Large || s.inFlight >= s.limit(now) || !s.open(now) {
+		if s.member.Leaving || ask.excludes(s) || now.Before(due) || s.member.Domain != ask.Domain && ask.Large || s.inFlight >= s.limit(now) || !s.open(now) {
 			continue
 		}
 		if oldest != nil && !s.lastGrant.Before(oldest.lastGrant) {
--- a/core/pool/placement_test.go
+++ b/core/pool/placement_test.go
@@ -302,3 +302,14 @@
 		})
 	}
 }
+
+// TestExcludedServersAreNotUsedForTheFloor asks for another server than one that has had no request for long.
+func TestExcludedServersAreNotUsedForTheFloor(t *testing.T) {
+	p := pool.Pool{}
+	p.SetPolicy(pool.Policy{Slots: 4, Placement: rules.Proven})
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	p.SetServers(benchStart, []pool.Member{{Name: "s0", Address: address}, {Name: "s1", Address: address}})
+	decision := p.Ask(benchStart, pool.Ask{Attempt: 1, Number: 1, Idempotent: true, Exclude: []string{"s0"}, Deadline: benchStart.Add(time.Second)})
+	must.Eq(t, pool.Granted, decision.Verdict)
+	must.Eq(t, "s1", decision.Server)
+}
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -11,6 +11,7 @@
 
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
@@ -92,7 +93,7 @@
 			return verdict
 		}
 		entry.keys.wantTable()
-		sleep(ctx, claimPause)
+		wait.For(ctx, claimPause)
 	}
 	return verdict
 }
@@ -147,7 +148,7 @@
 func (entry *Entry) settleLater(settlement idempotency.Settlement) {
 	pause := claimPause
 	for range settleTries {
-		sleep(context.Background(), pause)
+		wait.For(context.Background(), pause)
 		if entry.settleOnce(settlement) {
 			return
 		}
@@ -183,7 +184,7 @@
 			return
 		case <-ticker.C:
 		case <-entry.keys.wanted:
-			sleep(ctx, claimPause)
+			wait.For(ctx, claimPause)
 		}
 	}
 }
@@ -291,7 +292,7 @@
 func (entry *Entry) awaitReleased(ctx context.Context) {
 	for ctx.Err() == nil {
 		entry.keys.wantTable()
-		sleep(ctx, keyTick)
+		wait.For(ctx, keyTick)
 		entry.keys.mu.Lock()
 		released := entry.keys.keeper.Released()
 		entry.keys.mu.Unlock()
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // Feed brings the platform's lists and rules by changes.
@@ -186,18 +187,18 @@
 func (entry *Entry) followFeed(ctx context.Context) {
 	if entry.FirstStart {
 		// All instances start at the same time: the first reading is of use once they are listed.
-		sleep(ctx, gatherLength)
+		wait.For(ctx, gatherLength)
 	}
 	for ctx.Err() == nil {
 		if entry.lists.revision() > 0 && !entry.readsFeed() {
-			sleep(ctx, rolePause)
+			wait.For(ctx, rolePause)
 			continue
 		}
 		lists, err := entry.Feed.Next(ctx, entry.lists.revision())
 		if err != nil {
 			entry.count("lists.errors")
 			entry.askSeeds(ctx)
-			sleep(ctx, failedPause)
+			wait.For(ctx, failedPause)
 			continue
 		}
 		if entry.lists.apply(lists) {
@@ -247,7 +248,7 @@
 func (entry *Entry) pullLists(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !entry.pullOnce(ctx) {
-			sleep(ctx, failedPause)
+			wait.For(ctx, failedPause)
 		}
 	}
 }
--- a/entry/lists_test.go
+++ b/entry/lists_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 var errCut = errors.New("cut off")
@@ -65,13 +66,13 @@
 		changes := feed.lists.since(after)
 		switch {
 		case feed.isCut():
-			sleep(ctx, 2*time.Second)
+			wait.For(ctx, 2*time.Second)
 			return Lists{}, errCut
 		case !changes.Servers.Empty() || !time.Now().Before(until) || ctx.Err() != nil:
 			feed.hear()
 			return changes, ctx.Err()
 		}
-		sleep(ctx, 10*time.Millisecond)
+		wait.For(ctx, 10*time.Millisecond)
 	}
 }
 
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -11,6 +11,7 @@
 
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // RulesSource follows the rules in the platform's store.
@@ -100,7 +101,7 @@
 			entry.count("rules.errors")
 			entry.Log.Warn("rules: the store does not give the rules, the version in force stays", zap.Error(err))
 		}
-		sleep(ctx, entry.Intervals.Retry)
+		wait.For(ctx, entry.Intervals.Retry)
 	}
 }
 
@@ -117,7 +118,7 @@
 			return
 		case peer := <-entry.rules.wanted:
 			if entry.rules.load().version > 0 && entry.Feed == nil {
-				sleep(ctx, entry.Intervals.Retry)
+				wait.For(ctx, entry.Intervals.Retry)
 			}
 			entry.pullFrom(ctx, peer, entry.rules.load().version)
 		case <-ticker.C:
@@ -161,12 +162,3 @@
 	entry.count("rules.from-peers")
 	entry.ApplyRules(version, text)
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/registry/announcer.go
+++ b/registry/announcer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // Timing of an announcement.
@@ -38,12 +40,12 @@
 // Run announces the value until the context ends, and then takes it off the list.
 func (announcer *Announcer) Run(ctx context.Context, value []byte) {
 	for ctx.Err() == nil {
-		wait := renewEvery
+		pause := renewEvery
 		if err := announcer.step(ctx, value); err != nil {
 			announcer.Log.Debug("store: the announcement of this instance failed", zap.Error(err))
-			wait = retryEvery
+			pause = retryEvery
 		}
-		pause(ctx, wait)
+		wait.For(ctx, pause)
 	}
 	announcer.withdraw(context.WithoutCancel(ctx))
 }
@@ -68,7 +70,7 @@
 func (announcer *Announcer) announce(ctx context.Context, value []byte) error {
 	lease := uint64(0)
 	err := announcer.call(ctx, func(ctx context.Context) error {
-		granted, _, err := announcer.Store.Grant(ctx, leaseLength)
+		granted, err := announcer.Store.Grant(ctx, leaseLength)
 		lease = granted
 		return err
 	})
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // Timing of reading.
@@ -54,17 +55,17 @@
 		// What a stale reading misses comes with the watch after it.
 		batch, err := reader.readAll(ctx, reader.reads.Add(1) == 1)
 		if err == nil && batch.Revision == 0 {
-			pause(ctx, emptyPause)
+			wait.For(ctx, emptyPause)
 		}
 		return batch, err
 	}
 	if reader.paused.Swap(false) {
-		pause(ctx, eventPause)
+		wait.For(ctx, eventPause)
 	}
 	batch, err := reader.watch(ctx, after)
 	if err != nil && kindOf(err) == KindAway && ctx.Err() == nil {
 		// A waiting watch may be cut while the store is well.
-		pause(ctx, cutPause)
+		wait.For(ctx, cutPause)
 		batch, err = reader.watch(ctx, after)
 	}
 	if err == nil {
@@ -148,12 +149,3 @@
 func dropRemoval(removals []instance.Removal, name string) []instance.Removal {
 	return slices.DeleteFunc(removals, func(removal instance.Removal) bool { return removal.Name == name })
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/registry/reader_test.go
+++ b/registry/reader_test.go
@@ -11,6 +11,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
+
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // call is one answer of the scripted store.
@@ -38,7 +40,7 @@
 	}
 	c := (*calls)[0]
 	*calls = (*calls)[1:]
-	pause(ctx, c.took)
+	wait.For(ctx, c.took)
 	return c
 }
 
@@ -53,8 +55,8 @@
 	return c.records, c.revision, c.err
 }
 
-func (script *script) Grant(context.Context, time.Duration) (uint64, time.Duration, error) {
-	return uint64(script.grants.Add(1)), leaseLength, nil
+func (script *script) Grant(context.Context, time.Duration) (uint64, error) {
+	return uint64(script.grants.Add(1)), nil
 }
 
 func (script *script) Put(context.Context, string, []byte, uint64) error {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -31,8 +31,8 @@
 	Watch(ctx context.Context, prefix string, after uint64) ([]Event, uint64, error)
 	// Put writes a record that is removed with its lease.
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
-	// Grant opens a lease and returns the length that applies.
-	Grant(ctx context.Context, length time.Duration) (lease uint64, granted time.Duration, err error)
+	// Grant opens a lease of a length, which the store may bound.
+	Grant(ctx context.Context, length time.Duration) (lease uint64, err error)
 	// Renew extends a lease by its length from the call's arrival.
 	Renew(ctx context.Context, lease uint64) error
 	// End ends a lease and removes its records.
--- a/testing/soak/callers_test.go
+++ b/testing/soak/callers_test.go
@@ -17,7 +17,7 @@
 const (
 	callers     = 14
 	mostThought = 40 * time.Millisecond // between two requests
-	leaveOdds   = 0.03 // chance that a caller leaves, of a request that takes long
+	leaveOdds   = 0.03                  // chance that a caller leaves, of a request that takes long
 	slowOdds    = 0.08
 	largeOdds   = 0.05
 	extraOdds   = 0.25 // chance of one of the routes that come and go
--- /dev/null
+++ b/wait/wait.go
@@ -0,0 +1,17 @@
+// Package wait waits for a time or until a context ends.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a length of time, or until the context ends.
+func For(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
