--- a/adapters/caller/http/decisions.go
+++ b/adapters/caller/http/decisions.go
@@ -22,63 +22,63 @@
 const (
 	explainedMost = 50               // requests a second whose lines are written; each has a few
 	sampledEvery  = time.Second      // between lines of requests that went well
-	toldEvery     = 10 * time.Second // between lines that tell how many requests have no lines
+	reportEvery   = 10 * time.Second // between reports of how many requests have no lines
 	lateShare     = 0.5              // of a request's time, after which its answer counts as late where its route has no target
 )
 
-// narration decides which requests have lines; the zero value has room for all of a second's.
-type narration struct {
-	mu        sync.Mutex
-	explained limit.Bucket
-	sampledAt time.Time
-	leftOut   int // requests without lines since toldAt
-	toldAt    time.Time
+// logBudget bounds the requests that have lines; the zero value has spent nothing.
+type logBudget struct {
+	mu         sync.Mutex
+	explained  limit.Bucket
+	sampledAt  time.Time
+	dropped    int // requests without lines since reportedAt
+	reportedAt time.Time
 }
 
-// explain reports whether a request's lines are written, and now and then how many requests have none.
-func (narration *narration) explain(now time.Time) (written bool, leftOut int) {
-	narration.mu.Lock()
-	defer narration.mu.Unlock()
-	granted, _ := narration.explained.Take(now, explainedMost, 1)
+// admit reports whether a request's lines are written, and now and then how many requests had none.
+func (budget *logBudget) admit(now time.Time) (admitted bool, dropped int) {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	granted, _ := budget.explained.Take(now, explainedMost, 1)
 	if granted == 0 {
-		narration.leftOut++
+		budget.dropped++
 	}
-	if narration.leftOut > 0 && now.Sub(narration.toldAt) >= toldEvery {
-		leftOut, narration.leftOut, narration.toldAt = narration.leftOut, 0, now
+	if budget.dropped > 0 && now.Sub(budget.reportedAt) >= reportEvery {
+		dropped, budget.dropped, budget.reportedAt = budget.dropped, 0, now
 	}
-	return granted > 0, leftOut
+	return granted > 0, dropped
 }
 
 // sample reports whether a request that went well has a line.
-func (narration *narration) sample(now time.Time) bool {
-	narration.mu.Lock()
-	defer narration.mu.Unlock()
-	if now.Sub(narration.sampledAt) < sampledEvery {
+func (budget *logBudget) sample(now time.Time) bool {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	if now.Sub(budget.sampledAt) < sampledEvery {
 		return false
 	}
-	narration.sampledAt = now
+	budget.sampledAt = now
 	return true
 }
 
-// explain reports whether the lines of a request that did not go well are written.
-func (handler *Handler) explain() bool {
+// admitsLines reports whether the lines of a request that did not go well are written.
+func (handler *Handler) admitsLines() bool {
 	if !handler.Log.Core().Enabled(zap.InfoLevel) {
 		return false
 	}
-	written, leftOut := handler.narration.explain(handler.Clock())
-	if leftOut > 0 {
-		handler.Log.Warn("request: too many to explain, some have no lines", zap.Int("requests", leftOut))
+	written, dropped := handler.logBudget.admit(handler.Clock())
+	if dropped > 0 {
+		handler.Log.Warn("request: too many to explain, some have no lines", zap.Int("requests", dropped))
 	}
 	if !written {
-		handler.count("log.requests-left-out")
+		handler.count("log.requests-dropped")
 	}
 	return written
 }
 
-// trail is what is written of one request.
-type trail struct {
-	begun   bool // it did not go well
-	written bool
+// requestLog is the state of one request's lines.
+type requestLog struct {
+	begun   bool // the request did not go well
+	written bool // its lines are written
 	first   placement
 }
 
@@ -89,16 +89,16 @@
 	grant  *entry.Grant
 }
 
-// tell writes a line of a request that does not go well.
-func (exchange *exchange) tell(message string, more ...zap.Field) {
-	trail := &exchange.trail
-	if !trail.begun {
-		trail.begun, trail.written = true, exchange.handler.explain()
-		if trail.written && trail.first.grant != nil {
-			exchange.write(trail.first.at, "request: placed at a backend server", exchange.placed(trail.first)...)
+// explain writes a line of a request that does not go well.
+func (exchange *exchange) explain(message string, more ...zap.Field) {
+	log := &exchange.log
+	if !log.begun {
+		log.begun, log.written = true, exchange.handler.admitsLines()
+		if log.written && log.first.grant != nil {
+			exchange.write(log.first.at, "request: placed at a backend server", exchange.placed(log.first)...)
 		}
 	}
-	if trail.written {
+	if log.written {
 		exchange.write(exchange.now(), message, more...)
 	}
 }
@@ -129,18 +129,18 @@
 // logPlaced tells of a grant: at once for a further attempt, and otherwise when the request turns out not to go well.
 func (exchange *exchange) logPlaced(grant *entry.Grant, waited time.Duration) {
 	placement := placement{exchange.now(), waited, grant}
-	if exchange.trail.first.grant == nil {
-		exchange.trail.first = placement
+	if exchange.log.first.grant == nil {
+		exchange.log.first = placement
 		return
 	}
-	exchange.tell("request: tried at another backend server", append(exchange.placed(placement),
+	exchange.explain("request: tried at another backend server", append(exchange.placed(placement),
 		zap.Bool("hedge", len(exchange.out) > 0), zap.Int("attempt", exchange.request.Number()), zap.Int("attempts-allowed", exchange.request.Attempts),
 	)...)
 }
 
 // logSilent tells of an attempt without a first byte at the time of suspicion.
 func (exchange *exchange) logSilent(a *attempt) {
-	exchange.tell("request: a backend server is silent beyond the time of suspicion", zap.String("backend-server", a.grant.Server),
+	exchange.explain("request: a backend server is silent beyond the time of suspicion", zap.String("backend-server", a.grant.Server),
 		zap.Duration("suspect-after", a.grant.SuspectAt.Sub(a.sentAt)), zap.Bool("connection-reused", a.progress.Reused()))
 }
 
@@ -150,7 +150,7 @@
 	if a.response != nil {
 		status = a.response.StatusCode
 	}
-	exchange.tell("request: an attempt failed",
+	exchange.explain("request: an attempt failed",
 		zap.String("backend-server", a.grant.Server), zap.Stringer("outcome", outcome), zap.Int("status", status),
 		zap.Bool("sent", a.progress.Wrote()), zap.Bool("connection-reused", a.progress.Reused()), zap.Bool("overdue", a.overdue),
 		zap.Duration("attempt-age", exchange.now().Sub(a.sentAt)), zap.Error(err),
@@ -163,7 +163,7 @@
 	if !decision.RetryAt.IsZero() {
 		fields = append(fields, zap.Duration("retry-in", decision.RetryAt.Sub(exchange.now())))
 	}
-	exchange.tell("request: no slot is granted", fields...)
+	exchange.explain("request: no slot is granted", fields...)
 }
 
 // logAnswered tells of an answer that is passed on.
@@ -176,11 +176,11 @@
 	switch {
 	case backend.IsServerError(a.response.StatusCode):
 		exchange.logPassedOn(a, retry.Ran)
-	case exchange.trail.begun || exchange.isLate(now):
-		exchange.tell("request: answered", append(fields, zap.Bool("late", exchange.isLate(now)))...)
-	case exchange.handler.narration.sample(now):
+	case exchange.log.begun || exchange.isLate(now):
+		exchange.explain("request: answered", append(fields, zap.Bool("late", exchange.isLate(now)))...)
+	case exchange.handler.logBudget.sample(now):
 		exchange.write(now, "request: answered", append(fields,
-			zap.Bool("sampled", true), zap.Duration("waited", exchange.trail.first.waited), zap.String("decided-by", a.grant.DecidedBy()))...)
+			zap.Bool("sampled", true), zap.Duration("waited", exchange.log.first.waited), zap.String("decided-by", a.grant.DecidedBy()))...)
 	}
 }
 
@@ -195,7 +195,7 @@
 
 // logGivenUp tells of an answer that sequoiaspan makes itself.
 func (exchange *exchange) logGivenUp(answer retry.Answer) {
-	exchange.tell("request: given up", append(answerFields(exchange.now(), answer), zap.Strings("tried", exchange.request.Tried()))...)
+	exchange.explain("request: given up", append(answerFields(exchange.now(), answer), zap.Strings("tried", exchange.request.Tried()))...)
 }
 
 func answerFields(now time.Time, answer retry.Answer) []zap.Field {
@@ -210,7 +210,7 @@
 
 // logPassedOn tells of a backend server's failure that is passed on.
 func (exchange *exchange) logPassedOn(a *attempt, truth retry.Truth) {
-	exchange.tell("request: the failure of a backend server is passed on",
+	exchange.explain("request: the failure of a backend server is passed on",
 		zap.String("backend-server", a.grant.Server), zap.Int("status", a.response.StatusCode), zap.String("outcome", string(truth)),
 		zap.Strings("tried", exchange.request.Tried()),
 	)
@@ -218,17 +218,17 @@
 
 // logBrokenOff tells of an answer that ended before it was whole.
 func (exchange *exchange) logBrokenOff(a *attempt, err error) {
-	exchange.tell("request: its answer was broken off", zap.String("backend-server", a.grant.Server), zap.Int("status", a.response.StatusCode), zap.Error(err))
+	exchange.explain("request: its answer was broken off", zap.String("backend-server", a.grant.Server), zap.Int("status", a.response.StatusCode), zap.Error(err))
 }
 
 // logLeft tells of a caller that has gone.
 func (exchange *exchange) logLeft(sent bool) {
-	exchange.tell("request: the caller has gone", zap.Bool("sent", sent), zap.Strings("tried", exchange.request.Tried()))
+	exchange.explain("request: the caller has gone", zap.Bool("sent", sent), zap.Strings("tried", exchange.request.Tried()))
 }
 
 // logTurnedAway tells of a request that no backend server was asked for.
 func (handler *Handler) logTurnedAway(r *http.Request, terms *dialect.Terms, answer retry.Answer) {
-	if !handler.explain() {
+	if !handler.admitsLines() {
 		return
 	}
 	_, version := handler.Entry.Rules()
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -35,9 +35,9 @@
 	doubtful    []*entry.Grant // of backend servers that were silent or could not be reached
 	heldBytes   int64          // of answers read before they are passed on
 	terms       dialect.Terms  // the caller's word
-	trail       trail          // of log lines
-	spare       *attempt       // a failure that a backend server answered, passed on when nothing better comes
-	spareRan    bool           // the server ran the request
+	log         requestLog
+	spare       *attempt // a failure that a backend server answered, passed on when nothing better comes
+	spareRan    bool     // the server ran the request
 	startedAt   time.Time
 	ctx         context.Context
 	cancel      context.CancelFunc
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -108,7 +108,7 @@
 		if resumeErr := download.resume(first); resumeErr != nil {
 			return fmt.Errorf("%w; %w", err, resumeErr)
 		}
-		exchange.tell("request: its answer goes on from another backend server", zap.String("backend-server", download.attempt.grant.Server), zap.Int64("offset", download.offset), zap.Error(err))
+		exchange.explain("request: its answer goes on from another backend server", zap.String("backend-server", download.attempt.grant.Server), zap.Int64("offset", download.offset), zap.Error(err))
 	}
 }
 
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -56,7 +56,7 @@
 	held     atomic.Int64               // bytes of answers that are held
 	once     sync.Once
 
-	narration narration
+	logBudget logBudget
 }
 
 func (handler *Handler) init() {
--- a/core/pool/change.go
+++ b/core/pool/change.go
@@ -2,39 +2,28 @@
 
 import "time"
 
-// Belief is what a pool has come to believe of a backend server or a request.
-type Belief uint8
+// ChangeKind says what a pool has come to believe of a backend server or a request.
+type ChangeKind uint8
 
-// Beliefs.
+// Kinds of changes.
 const (
-	// Fails: the server likely fails requests and is used last.
-	Fails Belief = iota
-	// Answers: the server likely answers requests again.
-	Answers
-	// EjectedNow: the server is out of service.
-	EjectedNow
-	// Readmitted: the server is in service again.
-	Readmitted
-	// Leaves: the server has said that it takes no new work.
-	Leaves
-	// Crashes: the request took so many servers down that it is refused.
-	Crashes
+	// ChangeFailing: the server likely fails requests and is used last.
+	ChangeFailing ChangeKind = iota
+	// ChangeHealthy: the server likely answers requests again.
+	ChangeHealthy
+	// ChangeEjected: the server is out of service.
+	ChangeEjected
+	// ChangeReadmitted: the server is in service again.
+	ChangeReadmitted
+	// ChangeLeaving: the server has said that it takes no new work.
+	ChangeLeaving
+	// ChangeQuarantined: the request took so many servers down that it is refused.
+	ChangeQuarantined
 )
 
-// beliefNames are the names in logs.
-var beliefNames = [...]string{"fails", "answers", "ejected", "readmitted", "leaves", "crashes-servers"}
-
-// String returns the belief's name in logs.
-func (belief Belief) String() string {
-	if int(belief) < len(beliefNames) {
-		return beliefNames[belief]
-	}
-	return "unknown"
-}
-
 // Change is a change of what a pool believes, with what decided it.
 type Change struct {
-	Belief      Belief
+	Kind        ChangeKind
 	Server      string // empty for a request
 	Outcome     Outcome
 	Entry       string        // entry instance whose report decided
@@ -58,8 +47,8 @@
 const mostChanges = 64
 
 // note notes a change; report is the one that decided, empty for none.
-func (pool *Pool) note(now time.Time, belief Belief, s *server, report Report) {
-	change := Change{Belief: belief, Outcome: report.Outcome, Entry: report.Entry}
+func (pool *Pool) note(now time.Time, kind ChangeKind, s *server, report Report) {
+	change := Change{Kind: kind, Outcome: report.Outcome, Entry: report.Entry}
 	if s != nil {
 		change.Server, change.Chance, change.Evidence = s.member.Name, s.fault.chance(now), s.evidence.overall.value(now)
 		change.Failed, change.Ended = s.events.failures, s.events.events
@@ -67,11 +56,11 @@
 		if !s.answeredAt.IsZero() {
 			change.SinceAnswer = now.Sub(s.answeredAt)
 		}
-		if belief == EjectedNow {
+		if kind == ChangeEjected {
 			change.Until = s.until
 		}
 	}
-	if belief == Crashes {
+	if kind == ChangeQuarantined {
 		change.Fingerprint = report.Fingerprint
 		change.Until, _ = pool.quarantine.Until(now, report.Fingerprint)
 	}
@@ -86,10 +75,10 @@
 	switch chance := s.fault.chance(now); {
 	case !s.fails && chance >= failsFrom:
 		s.fails = true
-		pool.note(now, Fails, s, report)
+		pool.note(now, ChangeFailing, s, report)
 	case s.fails && chance < answersBelow:
 		s.fails = false
-		pool.note(now, Answers, s, report)
+		pool.note(now, ChangeHealthy, s, report)
 	}
 }
 
--- a/core/pool/ejection.go
+++ b/core/pool/ejection.go
@@ -138,7 +138,7 @@
 	s.phase = ejected
 	s.until = now.Add(ejectionLength(s.ejections))
 	s.coldUntil = now
-	pool.note(now, EjectedNow, s, Report{})
+	pool.note(now, ChangeEjected, s, Report{})
 	s.evidence.clear()
 }
 
@@ -198,7 +198,7 @@
 
 func (pool *Pool) returnToService(now time.Time, s *server) {
 	s.phase, s.since = inService, now
-	pool.note(now, Readmitted, s, Report{})
+	pool.note(now, ChangeReadmitted, s, Report{})
 	s.evidence.clear()
 	s.startRamp(now)
 	pool.serveWaiters(now)
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -128,7 +128,7 @@
 func (pool *Pool) judge(now time.Time, s *server, report Report, g grant) float64 {
 	if report.Leaving && !s.member.Leaving {
 		s.member.Leaving = true
-		pool.note(now, Leaves, s, report)
+		pool.note(now, ChangeLeaving, s, report)
 	}
 	pool.noteFingerprint(now, s, report)
 	switch {
@@ -163,7 +163,7 @@
 		_, before := pool.quarantine.Until(now, report.Fingerprint)
 		pool.quarantine.Lost(now, report.Fingerprint, s.member.Name)
 		if _, after := pool.quarantine.Until(now, report.Fingerprint); after && !before {
-			pool.note(now, Crashes, s, report)
+			pool.note(now, ChangeQuarantined, s, report)
 		}
 	case Answered:
 		pool.quarantine.Ran(now, report.Fingerprint)
--- a/entry/beliefs.go
+++ b/entry/changelog.go
@@ -7,37 +7,38 @@
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 )
 
-// beliefs logs what this instance comes to believe as the decider of slices.
-type beliefs struct {
+// changeLog tells what this instance comes to believe as the decider of slices.
+type changeLog struct {
 	name string // of this instance
 	log  *zap.Logger
 }
 
 // decider tells that this instance decides for a slice from now on, or no longer does.
-func (beliefs *beliefs) decider(slice home.Slice, alone bool, before, after string) {
-	if before == after || alone || before != beliefs.name && after != beliefs.name {
+func (changeLog *changeLog) decider(slice home.Slice, alone bool, before, after string) {
+	if before == after || alone || before != changeLog.name && after != changeLog.name {
 		return
 	}
 	message := "home: this instance decides for a slice from now on"
-	if after != beliefs.name {
+	if after != changeLog.name {
 		message = "home: another instance decides for a slice from now on"
 	}
-	beliefs.log.Info(message, zap.Stringer("slice", slice), zap.String("before", before), zap.String("after", after))
+	changeLog.log.Info(message, zap.Stringer("slice", slice), zap.String("before", before), zap.String("after", after))
+}
+
+// changeMessages are the lines on changes.
+var changeMessages = map[pool.ChangeKind]string{
+	pool.ChangeFailing:     "backend server: likely failing, used last",
+	pool.ChangeHealthy:     "backend server: likely healthy again",
+	pool.ChangeEjected:     "backend server: ejected",
+	pool.ChangeReadmitted:  "backend server: readmitted",
+	pool.ChangeLeaving:     "backend server: leaving, by its own word",
+	pool.ChangeQuarantined: "request: quarantined, backend servers end while they run it",
 }
 
 // changes tells what a slice's pool has come to believe.
-func (beliefs *beliefs) changes(slice home.Slice, alone bool, changes []pool.Change) {
+func (changeLog *changeLog) changes(slice home.Slice, alone bool, changes []pool.Change) {
 	for i := range changes {
 		change := &changes[i]
-		message := "backend server: it " + change.Belief.String()
-		switch change.Belief {
-		case pool.EjectedNow:
-			message = "backend server: it is ejected"
-		case pool.Readmitted:
-			message = "backend server: it is readmitted"
-		case pool.Crashes:
-			message = "request: it is quarantined, backend servers end while they run it"
-		}
 		fields := []zap.Field{
 			zap.Stringer("slice", slice), zap.String("backend-server", change.Server), zap.Bool("decided-alone", alone),
 			zap.Float64("chance-of-failure", change.Chance), zap.Float64("failed-of-late", change.Failed), zap.Float64("attempts-of-late", change.Ended),
@@ -53,6 +54,6 @@
 		if change.Fingerprint != 0 {
 			fields = append(fields, zap.Uint64("fingerprint", change.Fingerprint))
 		}
-		beliefs.log.Info(message, fields...)
+		changeLog.log.Info(changeMessages[change.Kind], fields...)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -186,7 +186,7 @@
 	}
 	entry.members.retries = entry.Retries
 	entry.keys.keeper.Self = entry.Incarnation
-	log := &beliefs{name: entry.Name, log: entry.Log}
+	log := &changeLog{name: entry.Name, log: entry.Log}
 	entry.homes.init(false, log)
 	entry.alone.init(true, log)
 	entry.registerGauges()
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -20,7 +20,7 @@
 // homes holds pools in shards, each under its own lock.
 type homes struct {
 	alone  bool // one slot for each server, without the other instances' word
-	log    *beliefs
+	log    *changeLog
 	shards [homeShards]homeShard
 }
 
@@ -37,7 +37,7 @@
 	home    string                         // of the slice by that version
 }
 
-func (homes *homes) init(alone bool, log *beliefs) {
+func (homes *homes) init(alone bool, log *changeLog) {
 	homes.alone, homes.log = alone, log
 	for i := range homes.shards {
 		homes.shards[i].pools = map[home.Slice]*slicePool{}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -47,7 +47,7 @@
 	Level zap.AtomicLevel
 
 	output  *output
-	leftOut leftOut
+	dropped dropped
 }
 
 // Options of a log; the zero value writes lines of the level info to standard output.
@@ -70,7 +70,7 @@
 	if options.Output == nil {
 		options.Output = os.Stdout
 	}
-	log.output = newOutput(options.Output, log.reportLeftOut)
+	log.output = newOutput(options.Output, log.reportDropped)
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), log.output, log.Level)
 	sampled := zapcore.NewSamplerWithOptions(core, time.Second, linesFirst, linesThereafter, zapcore.SamplerHook(log.sampled))
 	log.Logger = zap.New(sampled, zap.ErrorOutput(zapcore.Lock(os.Stderr)))
@@ -80,37 +80,37 @@
 	return log, nil
 }
 
-// sampled counts a line that the sampler left out.
+// sampled counts a line that the sampler dropped.
 func (log *Log) sampled(line zapcore.Entry, decision zapcore.SamplingDecision) {
 	if decision&zapcore.LogDropped != 0 {
-		log.leftOut.add(line.Message)
+		log.dropped.add(line.Message)
 	}
 }
 
-// LeftOut returns how many lines were left out since the start: by the bound of lines a second, and because the output took
+// Dropped returns how many lines were dropped since the start: by the bound of lines a second, and because the output took
 // none.
-func (log *Log) LeftOut() (sampled, blocked uint64) {
-	return log.leftOut.count(), log.output.lost.Load()
+func (log *Log) Dropped() (sampled, blocked uint64) {
+	return log.dropped.count(), log.output.lost.Load()
 }
 
-// Register has metrics show how many lines were left out.
+// Register has metrics show how many lines were dropped.
 func (log *Log) Register(registry metrics.Registry) {
-	metrics.NewRegisteredFunctionalGauge("log.lines-left-out{cause=sampled}", registry, func() int64 { return int64(log.leftOut.count()) })
-	metrics.NewRegisteredFunctionalGauge("log.lines-left-out{cause=output-blocked}", registry, func() int64 { return int64(log.output.lost.Load()) })
+	metrics.NewRegisteredFunctionalGauge("log.lines-dropped{cause=sampled}", registry, func() int64 { return int64(log.dropped.count()) })
+	metrics.NewRegisteredFunctionalGauge("log.lines-dropped{cause=output-blocked}", registry, func() int64 { return int64(log.output.lost.Load()) })
 }
 
-// reportLeftOut writes a line that tells how many lines were left out since the last one, if any were.
-func (log *Log) reportLeftOut() {
-	messages := log.leftOut.take()
+// reportDropped writes a line that tells how many lines were dropped since the last one, if any were.
+func (log *Log) reportDropped() {
+	messages := log.dropped.take()
 	blocked := log.output.takeLost()
 	if len(messages) == 0 && blocked == 0 {
 		return
 	}
-	log.Warn("log: lines were left out", zap.Uint64("output-blocked", blocked), zap.Any("sampled", messages))
+	log.Warn("log: lines were dropped", zap.Uint64("output-blocked", blocked), zap.Any("sampled", messages))
 }
 
 // Close writes what waits, for a short time at most, and ends the log.
 func (log *Log) Close() {
-	log.reportLeftOut()
+	log.reportDropped()
 	log.output.close()
 }
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -55,7 +55,7 @@
 			time.Sleep(time.Second)
 		}
 		must.Eq(t, time.Minute, time.Since(started))
-		_, blocked := log.LeftOut()
+		_, blocked := log.Dropped()
 		must.Positive(t, blocked)
 		must.LessEq(t, roomBytes, len(log.output.pending))
 		close(gate.shut)
@@ -64,7 +64,7 @@
 		lines := gate.lines(t)
 		counted, written := 0.0, 0
 		for _, line := range lines {
-			if line["msg"] == "log: lines were left out" {
+			if line["msg"] == "log: lines were dropped" {
 				counted += line["output-blocked"].(float64)
 				continue
 			}
@@ -89,13 +89,13 @@
 		}
 		log.Info("daemon: stopped")
 		log.Close()
-		sampled, blocked := log.LeftOut()
+		sampled, blocked := log.Dropped()
 		must.Zero(t, blocked)
 		lines := gate.lines(t)
 		must.Len(t, linesFirst+10+2, lines)
 		must.Eq(t, written-linesFirst-10, int(sampled))
 		told := lines[len(lines)-1]
-		must.Eq(t, "log: lines were left out", told["msg"].(string))
+		must.Eq(t, "log: lines were dropped", told["msg"].(string))
 		must.Eq(t, float64(sampled), told["sampled"].(map[string]any)["request: given up"].(float64))
 	})
 }
--- a/logs/output.go
+++ b/logs/output.go
@@ -12,7 +12,7 @@
 const (
 	// roomBytes of lines wait for an output that is slow; it is a few seconds of lines at their usual rate.
 	roomBytes = 256 << 10
-	// reportEvery is between lines that tell how many lines were left out.
+	// reportEvery is between lines that tell how many lines were dropped.
 	reportEvery = 10 * time.Second
 	// closePatience bounds the wait for an output that takes nothing at the end.
 	closePatience = 500 * time.Millisecond
