Use every server within the floor's two seconds, and send rules deflated

A log of all grants shows that all servers of pagos without a request had failed within the last 4 s and rested: a server counts as sound from two seconds after its latest failure on, at the end of the two seconds judged. So a rest of 3.2 s is too long, and any beyond two seconds. Change: each server gets a request within 1.5 s, also one that likely fails.

The new lines on silent peers show the cause: 30 instances pull 380 rules at once from the reader of their failure domain, which has a slow link; none gets the text within 100 ms, all pass the reader over and ask again, and so on. Change: the text goes deflated, once for each version, and a pull of rules has 400 ms.

--- a/adapters/peer/yamux/client.go
+++ b/adapters/peer/yamux/client.go
@@ -26,6 +26,7 @@
 	dialTimeout   = 250 * time.Millisecond
 	unreachedFor  = time.Second            // a peer that failed is passed over until then
 	silentMost    = time.Minute            // a peer that did not come back by then has another name if it does
+	rulesSilence  = 400 * time.Millisecond // longest wait for a text of rules, which slow links take a while for
 	retireAfter   = 5 * time.Second        // a link that fell silent is closed, for replies that are only late
 	recheckQueued = 500 * time.Millisecond // a queued ask is sent again, to notice a silent home
 )
@@ -422,11 +423,18 @@
 
 // PullRules asks a peer for newer rules; version 0 stands for none.
 func (client *Client) PullRules(ctx context.Context, to entry.Peer, have uint64) (uint64, string, error) {
-	reply, err := client.call(ctx, "pull-rules", to, &wire.Frame{Body: &wire.Frame_PullRules{PullRules: &wire.PullRules{Have: have}}})
+	reply, err := client.callWithin(ctx, "pull-rules", to, &wire.Frame{Body: &wire.Frame_PullRules{PullRules: &wire.PullRules{Have: have}}}, rulesSilence)
 	if err != nil {
 		return 0, "", err
 	}
-	return reply.GetRules().GetVersion(), reply.GetRules().GetText(), nil
+	if reply.GetRules().GetVersion() == 0 {
+		return 0, "", nil
+	}
+	text, err := inflateRules(reply.GetRules().GetText())
+	if err != nil {
+		return 0, "", &Error{Op: "pull-rules", Kind: KindProtocol, Peer: to.Name, Err: err}
+	}
+	return reply.GetRules().GetVersion(), text, nil
 }
 
 // TakeTokens asks a team's counter for a part of its limit.
--- /dev/null
+++ b/adapters/peer/yamux/rules.go
@@ -0,0 +1,54 @@
+package yamux
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+	"sync"
+)
+
+// mostRulesBytes bounds the text of a version, which a platform's store holds in one value of a megabyte or in parts.
+const mostRulesBytes = 32 << 20
+
+// deflatedRules keeps the text of the latest version in the form in which peers get it; the zero value has none.
+type deflatedRules struct {
+	mu      sync.Mutex
+	version uint64
+	bytes   []byte
+}
+
+// of returns the deflated text of a version.
+func (rules *deflatedRules) of(version uint64, text string) ([]byte, error) {
+	rules.mu.Lock()
+	defer rules.mu.Unlock()
+	if rules.version == version && version != 0 {
+		return rules.bytes, nil
+	}
+	buffer := &bytes.Buffer{}
+	writer, err := flate.NewWriter(buffer, flate.DefaultCompression)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := io.WriteString(writer, text); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	rules.version, rules.bytes = version, buffer.Bytes()
+	return rules.bytes, nil
+}
+
+// inflateRules returns the text that a peer sent.
+func inflateRules(deflated []byte) (string, error) {
+	reader := flate.NewReader(bytes.NewReader(deflated))
+	text, err := io.ReadAll(io.LimitReader(reader, mostRulesBytes+1))
+	if err != nil {
+		return "", err
+	}
+	if len(text) > mostRulesBytes {
+		return "", fmt.Errorf("the rules have more than %d bytes", mostRulesBytes)
+	}
+	return string(text), nil
+}
--- a/adapters/peer/yamux/server.go
+++ b/adapters/peer/yamux/server.go
@@ -48,6 +48,7 @@
 
 	sessions sync.WaitGroup
 	slots    chan struct{}
+	rules    deflatedRules
 }
 
 // Serve accepts sessions until the context ends.
@@ -169,7 +170,12 @@
 		remote.reply(frame.GetId(), keysTo(keys, known, now))
 	case *wire.Frame_PullRules:
 		version, text := handler.HandlePullRules(body.PullRules.GetHave())
-		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_Rules{Rules: &wire.Rules{Version: version, Text: text}}})
+		deflated, err := remote.server.rules.of(version, text)
+		if err != nil {
+			remote.server.Log.Error("peer: the rules could not be deflated", zap.Uint64("version", version), zap.Error(err))
+			version, deflated = 0, nil
+		}
+		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_Rules{Rules: &wire.Rules{Version: version, Text: deflated}}})
 	case *wire.Frame_Tokens:
 		granted, retryAt := handler.HandleTakeTokens(body.Tokens.GetTeam(), int(body.Tokens.GetWant()))
 		reply := &wire.TokensReply{Granted: uint32(granted), RetryAfterNanos: until(now, retryAt)}
--- a/core/pool/fault.go
+++ b/core/pool/fault.go
@@ -30,7 +30,6 @@
 	at       time.Time
 	tries    int // failed tries in a row
 	failedAt time.Time
-	lostAt   time.Time // latest failure that was no mere silence
 }
 
 // estimate moves the probability of the failing state on to now.
@@ -66,7 +65,6 @@
 func (fault *fault) fail(now time.Time, weight, others float64) {
 	fault.observe(now, math.Pow(failsSick/min(mostWell, max(failsWell, others)), weight))
 	if weight > silenceWeight {
-		fault.lostAt = now
 		if now.Sub(fault.failedAt) > tryApart {
 			fault.tries++
 		}
@@ -74,11 +72,6 @@
 	fault.failedAt = now
 }
 
-// failedWithin reports whether the latest failure is younger than an age.
-func (fault *fault) failedWithin(now time.Time, age time.Duration) bool {
-	return !fault.lostAt.IsZero() && now.Sub(fault.lostAt) < age
-}
-
 // observe applies a likelihood ratio of the failing state to the other one.
 func (fault *fault) observe(now time.Time, ratio float64) {
 	sick := fault.estimate(now)
--- a/core/pool/placement.go
+++ b/core/pool/placement.go
@@ -25,15 +25,12 @@
 	likelyFailsOnce = 0.12 // for others
 	betterWait      = 400 * time.Millisecond
 
-	// Each server that does not likely fail gets a request within this time: in any two seconds the floor's share of the servers
-	// in order is to be used, as requests may be lost then for a cause that is not known yet.
+	// Each server gets a request within this time, also one that likely fails: in any two seconds the floor's share of the servers in
+	// order is to be used, all requests of the latest two seconds may be lost without notice, and a server counts as in order again
+	// two seconds after its latest failure.
 	touchOnce  = 1500 * time.Millisecond // by a request that may run once
 	touchAgain = 1200 * time.Millisecond // by one that can be tried again, which finds out at little cost
 	touchFar   = 300 * time.Millisecond  // later by one from another failure domain
-	touchable  = 0.2                     // chance of failure up to which that holds
-	// A server that likely fails rests for this time after its latest failure. The floor counts it again two seconds after that
-	// failure, and then it must get a request within two more.
-	restLength = 3200 * time.Millisecond
 )
 
 // choosePlaced returns the cheapest server for an ask, or nil when none has room.
@@ -84,9 +81,7 @@
 		if oldest != nil && !s.lastGrant.Before(oldest.lastGrant) {
 			continue
 		}
-		if s.fault.chance(now) < touchable || !s.fault.failedWithin(now, restLength) {
-			oldest = s
-		}
+		oldest = s
 	}
 	return oldest
 }
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -156,6 +156,9 @@
 	ctx, cancel := context.WithTimeout(ctx, entry.Intervals.Retry)
 	defer cancel()
 	version, text, err := entry.Peers.PullRules(ctx, peer, have)
+	if err != nil {
+		entry.Log.Debug("rules: a peer did not give them", zap.String("peer", peer.Name), zap.Error(err))
+	}
 	if err != nil || version == 0 {
 		return
 	}
--- a/testing/soak/plan_test.go
+++ b/testing/soak/plan_test.go
@@ -15,6 +15,8 @@
 	series     = 3   // steps of one kind in a row
 	seriesOdds = 0.3 // chance that a step comes in a series
 	mostLength = 3 * time.Second
+	longOdds   = 0.1             // chance that a step lasts so much longer
+	longer     = 4 * time.Second // than a lease
 )
 
 // action is a kind of step.
@@ -69,6 +71,9 @@
 			at: time.Duration(random.Int64N(int64(faultTime))), action: actions[random.IntN(len(actions))],
 			target: random.IntN(1000), way: random.IntN(1000), length: 200*time.Millisecond + time.Duration(random.Int64N(int64(mostLength))),
 		}
+		if random.Float64() < longOdds {
+			s.length += longer
+		}
 		plan = append(plan, s)
 		if random.Float64() >= seriesOdds {
 			continue
