--- a/testing/soak/world_test.go
+++ b/testing/soak/world_test.go
@@ -47,7 +47,6 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
-	calm    func() // ends the disturbance by the latest end of the process
 }
 
 // server is a backend server behind a proxy.
