--- a/core/pool/fault.go
+++ b/core/pool/fault.go
@@ -16,8 +16,8 @@
 	firstChance  = 0.05  // that a server of which nothing is known fails
 	mostHalvings = 6
 
-	// errorWeight is the weight of an error that the server answers: plain ones are as rare as episodes begin, so that one error
-	// tells them apart hardly, and a rest costs less than another lost request.
+	// errorWeight is the weight of an error that a server answers: its own word, and about as often the begin of an episode as a
+	// plain failure.
 	errorWeight = 1.0
 	// silenceWeight is the weight of a silence beyond the time of suspicion: answers of busy servers take long, too.
 	silenceWeight = 0.3
