Do work once: deflated rules, list differences, histograms, silences of peers

Found by reading the whole change again; behaviour stays. - The answer to a pull of rules that nothing is newer (each instance, each second) deflated an empty text and dropped the text kept for the next pulls, which then deflated it again. Version 0 has no text now; TestRulesAreSmallOnTheWire checks it and fails before. - Each reading of a list cloned and compared both lists twice more for a log line, also when nothing had changed. The line compares the plans before and after the change; the plan keeps the servers listed, which status and metrics counted anew from their map. - Each request looked its three histograms up in the registry, under its lock; the handler has them now. - The peer client kept two maps for one thing, when a peer fell silent and until when it is passed over, and forgot entries of one of them only when they were in the other. One map, and those that answered again are forgotten, too. - One ListAge in place of two; a nested condition, a comment that no longer held, a comment with another function's name.

--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
-	"github.com/sequoiaspan/sequoiaspan/latency"
 )
 
 // attempt is one try at a backend server.
@@ -100,7 +99,7 @@
 // answered follows the header of an answer.
 func (exchange *exchange) answered(a *attempt, response *http.Response) bool {
 	a.response, a.firstByte = response, exchange.now().Sub(a.sentAt)
-	latency.Get("backend.first-bytes", exchange.handler.Metrics).Observe(a.firstByte)
+	exchange.handler.firstBytes.Observe(a.firstByte)
 	a.said = exchange.handler.Dialect.Reply(exchange.terms, response)
 	if a.said.Foreign {
 		_ = response.Body.Close()
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -14,7 +14,6 @@
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
-	"github.com/sequoiaspan/sequoiaspan/latency"
 )
 
 // exchange is one caller's request on its way; one goroutine owns it and takes in its events.
@@ -226,7 +225,7 @@
 	}
 	askedAt := exchange.now()
 	grant, decision := exchange.handler.Entry.AcquireAny(exchange.ctx, exchange.slice, ask)
-	latency.Get("grant.waits", exchange.handler.Metrics).Observe(exchange.now().Sub(askedAt))
+	exchange.handler.waits.Observe(exchange.now().Sub(askedAt))
 	exchange.post(event{id: ask.Attempt, grant: grant, decision: &decision, askedAt: askedAt})
 }
 
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -56,7 +56,8 @@
 	held     atomic.Int64               // bytes of answers that are held
 	once     sync.Once
 
-	logBudget logBudget
+	logBudget                   logBudget
+	requests, waits, firstBytes *latency.Histogram
 }
 
 func (handler *Handler) init() {
@@ -67,6 +68,9 @@
 	handler.random = rand.New(rand.NewPCG(handler.Seed, handler.Seed))
 	// The upper half tells entries and their runs apart, the lower half counts.
 	handler.base = rand.Uint64() << 32
+	handler.requests = latency.Get("caller.requests", handler.Metrics)
+	handler.waits = latency.Get("grant.waits", handler.Metrics)
+	handler.firstBytes = latency.Get("backend.first-bytes", handler.Metrics)
 }
 
 func (handler *Handler) nextAttempt() uint64 {
@@ -88,7 +92,7 @@
 	ctx, span := handler.Tracer.Start(ctx, "caller")
 	defer span.End()
 	handler.serveRouted(w, r.WithContext(ctx))
-	latency.Get("caller.requests", handler.Metrics).Observe(handler.Clock().Sub(started))
+	handler.requests.Observe(handler.Clock().Sub(started))
 }
 
 func (handler *Handler) serveOwn(w http.ResponseWriter, r *http.Request) {
--- a/adapters/peer/yamux/client.go
+++ b/adapters/peer/yamux/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -45,12 +46,25 @@
 	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu        sync.Mutex
-	links     map[string]*link     // by peer name
-	unreached map[string]time.Time // deadlines until which peers that failed are passed over
-	silent    map[string]time.Time // when peers that have not answered since fell silent
+	links     map[string]*link    // by peer name
+	silences  map[string]*silence // of peers that failed of late
 	anySilent atomic.Bool
 }
 
+// silence is that of a peer that failed.
+type silence struct {
+	since       time.Time // zero once it has answered
+	passedUntil time.Time // deadline until which it is passed over
+}
+
+// isOver reports whether a silence is of no more use: the peer answered, or it is gone.
+func (silence *silence) isOver(now time.Time) bool {
+	if silence.since.IsZero() {
+		return !now.Before(silence.passedUntil)
+	}
+	return now.Sub(silence.since) >= silentMost
+}
+
 // link is a session to one peer.
 type link struct {
 	peer    entry.Peer
@@ -65,38 +79,34 @@
 func (client *Client) Reachable(peer string) bool {
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	return !client.Clock().Before(client.unreached[peer])
+	s := client.silences[peer]
+	return s == nil || !client.Clock().Before(s.passedUntil)
 }
 
 // markUnreached has a peer that failed passed over for a while.
 func (client *Client) markUnreached(peer, op string, cause error) {
 	now := client.Clock()
 	client.mu.Lock()
-	if client.unreached == nil {
-		client.unreached, client.silent = map[string]time.Time{}, map[string]time.Time{}
-	}
-	client.unreached[peer] = now.Add(unreachedFor)
-	_, known := client.silent[peer]
-	if !known {
-		client.forgetSilent(now)
-		client.silent[peer] = now
-		client.anySilent.Store(true)
+	begins := client.silences[peer] == nil || client.silences[peer].since.IsZero()
+	if begins {
+		client.beginSilence(now, peer)
 	}
+	client.silences[peer].passedUntil = now.Add(unreachedFor)
 	client.mu.Unlock()
-	if !known {
+	if begins {
 		client.Log.Info("peer: it does not answer and is passed over", zap.String("peer", peer), zap.String("op", op),
 			zap.Duration("silence", client.Silence), zap.Duration("passed-over-for", unreachedFor), zap.Error(cause))
 	}
 }
 
-// forgetSilent forgets peers that fell silent long ago: they are gone. The lock is held.
-func (client *Client) forgetSilent(now time.Time) {
-	for peer, since := range client.silent {
-		if now.Sub(since) >= silentMost {
-			delete(client.silent, peer)
-			delete(client.unreached, peer)
-		}
+// beginSilence notes that a peer has fallen silent, and forgets silences that are over. The lock is held.
+func (client *Client) beginSilence(now time.Time, peer string) {
+	maps.DeleteFunc(client.silences, func(_ string, s *silence) bool { return s.isOver(now) })
+	if client.silences == nil {
+		client.silences = map[string]*silence{}
 	}
+	client.silences[peer] = &silence{since: now}
+	client.anySilent.Store(true)
 }
 
 // markAnswered notes a sign of life of a peer.
@@ -105,11 +115,17 @@
 		return
 	}
 	client.mu.Lock()
-	since, silent := client.silent[peer]
-	delete(client.silent, peer)
-	client.anySilent.Store(len(client.silent) > 0)
+	var since time.Time
+	if s := client.silences[peer]; s != nil {
+		since, s.since = s.since, time.Time{}
+	}
+	anySilent := false
+	for _, s := range client.silences {
+		anySilent = anySilent || !s.since.IsZero()
+	}
+	client.anySilent.Store(anySilent)
 	client.mu.Unlock()
-	if silent {
+	if !since.IsZero() {
 		client.Log.Info("peer: it answers again", zap.String("peer", peer), zap.Duration("silent-for", client.Clock().Sub(since)))
 	}
 }
--- a/adapters/peer/yamux/rules.go
+++ b/adapters/peer/yamux/rules.go
@@ -18,11 +18,14 @@
 	bytes   []byte
 }
 
-// of returns the deflated text of a version.
+// of returns the deflated text of a version; version 0 has none.
 func (rules *deflatedRules) of(version uint64, text string) ([]byte, error) {
+	if version == 0 {
+		return nil, nil
+	}
 	rules.mu.Lock()
 	defer rules.mu.Unlock()
-	if rules.version == version && version != 0 {
+	if rules.version == version {
 		return rules.bytes, nil
 	}
 	buffer := &bytes.Buffer{}
--- a/adapters/peer/yamux/rules_test.go
+++ b/adapters/peer/yamux/rules_test.go
@@ -26,6 +26,10 @@
 	must.NoError(t, err)
 	must.Less(t, int(link*rulesSilence.Seconds()/instances), len(deflated))
 	must.Greater(t, int(link*rulesSilence.Seconds()/instances), text.Len(), must.Sprint("it would be in time without"))
+	// The answer that nothing is newer must not drop what is kept.
+	none, err := rules.of(0, "")
+	must.NoError(t, err)
+	must.SliceEmpty(t, none)
 	again, err := rules.of(3, "not looked at")
 	must.NoError(t, err)
 	must.Eq(t, deflated, again)
--- a/core/pool/fault.go
+++ b/core/pool/fault.go
@@ -37,7 +37,7 @@
 	if fault.at.IsZero() {
 		return firstChance
 	}
-	// A server that failed each try is tried less often, and yet again: what is known of it ages.
+	// A server that failed each try likely fails for longer, and yet not for good: what is known of it ages.
 	recovery := recoveryRate * math.Exp2(-float64(min(mostHalvings, max(0, fault.tries-1))))
 	const resting = onsetRate / (onsetRate + recoveryRate)
 	age := max(0, now.Sub(fault.at).Seconds())
@@ -64,10 +64,8 @@
 // fail, too, of which a rate is given.
 func (fault *fault) fail(now time.Time, weight, others float64) {
 	fault.observe(now, math.Pow(failsSick/min(mostWell, max(failsWell, others)), weight))
-	if weight > silenceWeight {
-		if now.Sub(fault.failedAt) > tryApart {
-			fault.tries++
-		}
+	if weight > silenceWeight && now.Sub(fault.failedAt) > tryApart {
+		fault.tries++
 	}
 	fault.failedAt = now
 }
--- a/core/pool/placement.go
+++ b/core/pool/placement.go
@@ -78,10 +78,9 @@
 		if s.member.Leaving || ask.excludes(s) || now.Before(due) || s.member.Domain != ask.Domain && ask.Large || s.inFlight >= s.limit(now) || !s.open(now) {
 			continue
 		}
-		if oldest != nil && !s.lastGrant.Before(oldest.lastGrant) {
-			continue
+		if oldest == nil || s.lastGrant.Before(oldest.lastGrant) {
+			oldest = s
 		}
-		oldest = s
 	}
 	return oldest
 }
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -24,7 +24,7 @@
 	Level       zap.AtomicLevel  // follows the setting
 }
 
-// follow reads the settings anew after a signal or a change of the file, until the context ends.
+// followSettings reads the settings anew after a signal or a change of the file, until the context ends.
 func (daemon *Daemon) followSettings(ctx context.Context) error {
 	reloading := &daemon.Reloading
 	if reloading.File == "" {
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -5,21 +5,15 @@
 // registerGauges has the metrics show what this instance knows.
 func (entry *Entry) registerGauges() {
 	gauges := map[string]func() int64{
-		"rules.version":   func() int64 { return int64(entry.rules.load().version) },
-		"entry.instances": func() int64 { return int64(len(entry.members.plan().entries)) },
-		"entry.backend-servers": func() int64 {
-			count := 0
-			for _, servers := range entry.members.plan().servers {
-				count += len(servers)
-			}
-			return int64(count)
-		},
-		"entry.grants-held": func() int64 { return int64(entry.held.count()) },
+		"rules.version":         func() int64 { return int64(entry.rules.load().version) },
+		"entry.instances":       func() int64 { return int64(len(entry.members.plan().entries)) },
+		"entry.backend-servers": func() int64 { return int64(len(entry.members.plan().listed)) },
+		"entry.grants-held":     func() int64 { return int64(entry.held.count()) },
 	}
 	for name, value := range gauges {
 		metrics.NewRegisteredFunctionalGauge(name, entry.Metrics, value)
 	}
 	if entry.Feed != nil {
-		metrics.NewRegisteredFunctionalGaugeFloat64("lists.age-seconds", entry.Metrics, func() float64 { return entry.listAge(entry.Clock()).Seconds() })
+		metrics.NewRegisteredFunctionalGaugeFloat64("lists.age-seconds", entry.Metrics, func() float64 { return entry.ListAge(entry.Clock()).Seconds() })
 	}
 }
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -139,8 +139,11 @@
 	}
 }
 
-// listAge returns how long ago the platform vouched for the lists.
-func (entry *Entry) listAge(now time.Time) time.Duration {
+// ListAge returns how long ago the platform vouched for the lists, 0 for a platform whose list is polled.
+func (entry *Entry) ListAge(now time.Time) time.Duration {
+	if entry.Feed == nil {
+		return 0
+	}
 	entry.lists.mu.Lock()
 	age := now.Sub(entry.lists.heardAt)
 	entry.lists.mu.Unlock()
@@ -150,14 +153,6 @@
 	return age
 }
 
-// ListAge returns how long ago the platform vouched for the lists, 0 for a platform whose list is polled.
-func (entry *Entry) ListAge(now time.Time) time.Duration {
-	if entry.Feed == nil {
-		return 0
-	}
-	return entry.listAge(now)
-}
-
 // readers returns the instances of this one's failure domain that read the lists for the others, the first one first.
 func (entry *Entry) readers() []instance.Entry {
 	plan := entry.members.plan()
@@ -310,7 +305,7 @@
 // stale are returned at once, so that the other instance asks elsewhere.
 func (entry *Entry) HandlePullLists(revision uint64, wait time.Duration) Lists {
 	lists, changed := entry.lists.since(revision)
-	freshFor := staleAfter - entry.listAge(entry.Clock())
+	freshFor := staleAfter - entry.ListAge(entry.Clock())
 	if lists.Entries.Empty() && lists.Servers.Empty() && freshFor > 0 {
 		timer := time.NewTimer(min(wait, pullWait, freshFor+time.Millisecond))
 		defer timer.Stop()
@@ -320,7 +315,7 @@
 		case <-timer.C:
 		}
 	}
-	lists.Age = entry.listAge(entry.Clock())
+	lists.Age = entry.ListAge(entry.Clock())
 	return lists
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -29,7 +29,8 @@
 	entries    []instance.Entry
 	candidates []home.Candidate
 	byName     map[string]instance.Entry
-	servers    map[string][]instance.Server // by service
+	listed     []instance.Server
+	servers    map[string][]instance.Server // those listed, by service
 	retries    Retries
 
 	readersOnce sync.Once
@@ -52,7 +53,7 @@
 
 func newPlan(version uint64, set *rules.Set, entries []instance.Entry, servers []instance.Server) *plan {
 	p := &plan{
-		version: version, set: set, entries: entries,
+		version: version, set: set, entries: entries, listed: servers,
 		candidates: home.Candidates(entries),
 		byName:     map[string]instance.Entry{},
 		servers:    map[string][]instance.Server{},
@@ -67,17 +68,18 @@
 	return p
 }
 
-// rebuild makes a new plan after a change of rules or members.
-func (members *members) rebuild(now time.Time, set *rules.Set) {
+// rebuild makes a new plan after a change of rules or members, and returns the one before and it.
+func (members *members) rebuild(now time.Time, set *rules.Set) (old, next *plan) {
 	members.mu.Lock()
 	defer members.mu.Unlock()
-	old := members.plan()
+	old = members.plan()
 	if set == nil {
 		set = old.set
 	}
-	next := newPlan(old.version+1, set, members.view.Entries(now), members.view.Servers(now))
+	next = newPlan(old.version+1, set, members.view.Entries(now), members.view.Servers(now))
 	next.retries = members.retries
 	members.current.Store(next)
+	return old, next
 }
 
 // slices returns how many slices a service has.
@@ -153,21 +155,20 @@
 		entry.listRead(list)
 		return
 	}
-	view := &entry.members.view
-	before, entries, servers := view.Digest(now), view.Entries(now), view.Servers(now)
-	taken := view.Apply(list)
-	changed := taken && view.Digest(now) != before
-	instances, backends := instance.EntryDifference(entries, view.Entries(now)), instance.ServerDifference(servers, view.Servers(now))
+	before := entry.members.view.Digest(now)
+	taken := entry.members.view.Apply(list)
+	changed := taken && entry.members.view.Digest(now) != before
 	entry.members.mu.Unlock()
 	if !taken {
 		entry.Log.Warn("instances: a stale or empty list was not taken")
 		return
 	}
 	if changed {
-		entry.members.rebuild(now, nil)
+		old, next := entry.members.rebuild(now, nil)
 		entry.Log.Info("instances: the list changed",
 			zap.Int("entries", len(list.Entries)), zap.Int("backend-servers", len(list.Servers)), zap.Duration("list-age", entry.ListAge(now)),
-			zap.Dict("instances", differenceFields(instances)...), zap.Dict("servers", differenceFields(backends)...))
+			zap.Dict("instances", differenceFields(instance.EntryDifference(old.entries, next.entries))...),
+			zap.Dict("servers", differenceFields(instance.ServerDifference(old.listed, next.listed))...))
 	}
 	entry.listRead(list)
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -55,12 +55,9 @@
 	entry.keys.mu.Unlock()
 	status := Status{
 		Instance: entry.Name, Incarnation: string(entry.Incarnation), Domain: entry.Domain, Leaving: entry.IsLeaving(),
-		RulesVersion: current.version, RulesSince: current.since, ListAsOf: asOf, Entries: len(plan.entries),
+		RulesVersion: current.version, RulesSince: current.since, ListAsOf: asOf, Entries: len(plan.entries), Servers: len(plan.listed),
 		GrantsHeld: entry.held.count(), Keys: standing, Slices: entry.sliceStatus(now),
 	}
-	for _, servers := range plan.servers {
-		status.Servers += len(servers)
-	}
 	for _, other := range plan.entries {
 		if other.Name != entry.Name && !entry.Peers.Reachable(other.Name) {
 			status.UnreachedPeer = append(status.UnreachedPeer, other.Name)
