Have a withdrawn claim leave no record when it comes after its withdrawal

After a silence the client opens a new session; once the owner runs again it reads the old session with the claim and the newer one with the settlement in any order. A settlement that came first found no record and was acknowledged, and the claim then left a record that nobody settled.

Change: an owner remembers attempts that were given up before their claim came, for as long as keys, and applies them to records handed over too.

TestWithdrawnClaim, TestWithdrawnClaimOfAnEarlierOwner and the stateful TestGivenUpKeysRunAgain (settlements repeated until taken, as in the product) fail before. In the fuzz world two artefacts went: a process cut off from itself, and an asker that asked twice and kept silent about an answer that ended it. In TestClaimAnswers an attempt that was given up no longer runs: a later one does.

Conclusion: no repeat of a request refused not-run is turned away for its own withdrawn claim.

--- a/core/idempotency/bench_test.go
+++ b/core/idempotency/bench_test.go
@@ -48,7 +48,7 @@
 		n++
 		claim := Claim{Key: benchKey(n), Born: start, Attempt: n, RunBy: start.Add(time.Minute)}
 		keeper.Claim(start.Add(time.Second), claim)
-		keeper.Settle(Settlement{Key: claim.Key, Attempt: n, Ran: true, Status: 200})
+		keeper.Settle(start.Add(time.Second), Settlement{Key: claim.Key, Attempt: n, Ran: true, Status: 200})
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/core/idempotency/fuzz_test.go
+++ b/core/idempotency/fuzz_test.go
@@ -65,6 +65,7 @@
 	paused   bool
 	dead     bool
 	requests map[uint64]*request
+	unsent   map[uint64]Settlement // settlements that no owner has taken
 }
 
 // request is a caller's request at an entry instance.
@@ -98,7 +99,7 @@
 func (w *world) start(name string) {
 	w.runs++
 	skew := time.Duration(rapid.IntRange(-900, 900).Draw(w.t, "skew")) * time.Millisecond
-	p := &process{name: name, skew: skew, requests: map[uint64]*request{}}
+	p := &process{name: name, skew: skew, requests: map[uint64]*request{}, unsent: map[uint64]Settlement{}}
 	p.keeper.Self = NewIncarnation(name, fmt.Sprint(w.runs))
 	w.instances[name] = p
 	if _, listed := w.listing[name]; !listed {
@@ -108,7 +109,7 @@
 
 func (w *world) clock(p *process) time.Time { return w.now.Add(p.skew) }
 
-// send puts a message into the bag.
+// send puts a message into the bag. One from a process to itself is a step of its own, which no network loses.
 func (w *world) send(from, to string, deliver func()) {
 	w.bag = append(w.bag, message{from, to, deliver})
 }
@@ -120,7 +121,7 @@
 		return
 	}
 	w.bag = slices.Delete(w.bag, i, i+1)
-	if w.cut[[2]string{m.from, m.to}] || m.to == "store" && w.storeDown {
+	if m.from != m.to && w.cut[[2]string{m.from, m.to}] || m.to == "store" && w.storeDown {
 		return
 	}
 	m.deliver()
@@ -191,6 +192,9 @@
 	for _, r := range p.requests {
 		w.goOn(p, r)
 	}
+	for _, attempt := range slices.Sorted(maps.Keys(p.unsent)) {
+		w.settle(p, p.unsent[attempt])
+	}
 }
 
 func (w *world) swap(p *process, asked time.Time, actions Actions) {
@@ -277,6 +281,9 @@
 		delete(p.requests, r.claim.Attempt)
 	default:
 		delete(p.requests, r.claim.Attempt)
+		if r.tries > 1 { // another try may have been allowed to run
+			w.settle(p, Settlement{Key: r.claim.Key, Attempt: r.claim.Attempt, NotRun: true})
+		}
 	}
 }
 
@@ -291,15 +298,21 @@
 	w.settle(p, settlement)
 }
 
+// settle tells the key's owner what came of a claim; each tick repeats it until an owner has taken it.
 func (w *world) settle(p *process, settlement Settlement) {
+	p.unsent[settlement.Attempt] = settlement
 	table := p.keeper.Table()
 	if table == nil || len(table.Partitions) == 0 {
 		return
 	}
 	owner := table.Partitions[settlement.Key.Partition()].Owner
 	w.call(p, owner.Name(), func(target *process) func() {
-		target.keeper.Settle(settlement)
-		return func() {}
+		kept := target.keeper.Settle(w.clock(target), settlement)
+		return func() {
+			if kept {
+				delete(p.unsent, settlement.Attempt)
+			}
+		}
 	})
 }
 
@@ -379,7 +392,9 @@
 		"lose": act(func() {
 			if len(w.bag) > 0 {
 				i := rapid.IntRange(0, len(w.bag)-1).Draw(w.t, "message")
-				w.bag = slices.Delete(w.bag, i, i+1)
+				if m := w.bag[i]; m.from != m.to {
+					w.bag = slices.Delete(w.bag, i, i+1)
+				}
 			}
 		}),
 		"request": act(func() {
@@ -465,6 +480,36 @@
 	})
 }
 
+// TestGivenUpKeysRunAgain checks that a key whose requests were all refused unrun is free once faults have ended, in
+// whatever order claims and settlements came. No instance is lost here, so that no key may be unknown.
+func TestGivenUpKeysRunAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newFuzzWorld(t)
+		faults := w.actions()
+		for _, loss := range []string{"unlist", "split", "restart", "leave"} {
+			delete(faults, loss)
+		}
+		t.Repeat(faults)
+		w.t = t
+		clear(w.cut)
+		w.storeDown = false
+		for _, p := range w.instances {
+			p.paused = false
+		}
+		w.calm(30)
+		for _, key := range slices.Sorted(maps.Keys(w.born)) {
+			if w.ran[key] == 1 {
+				continue
+			}
+			w.request(w.pick("instance"), key)
+			w.calm(2)
+			if w.ran[key] != 1 {
+				t.Fatalf("key %d had not run and was refused after all faults ended (attempt %d)", key, w.attempts)
+			}
+		}
+	})
+}
+
 // TestServesAgainAfterFaults checks that the safety is not bought by refusing for good.
 func TestServesAgainAfterFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/idempotency/handover.go
+++ b/core/idempotency/handover.go
@@ -78,6 +78,9 @@
 
 // merge keeps the record that knows more; two attempts allowed for one key are never told apart as not run.
 func (part *partition) merge(record Record) {
+	if _, withdrawn := part.withdrawn[record.Attempt]; withdrawn && record.State == Running {
+		return
+	}
 	known := part.keys[record.Key]
 	if known == nil || known.State == Running {
 		part.keys[record.Key] = &record
@@ -145,6 +148,7 @@
 	owner.expireAt = now.Add(expireEvery)
 	for _, part := range owner.partitions {
 		maps.DeleteFunc(part.keys, func(_ Key, record *Record) bool { return !now.Before(record.Expires) })
+		maps.DeleteFunc(part.withdrawn, func(_ uint64, expires time.Time) bool { return !now.Before(expires) })
 	}
 }
 
--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -71,11 +71,13 @@
 	must.Eq(t, InProgress, owner.Claim(now, again).Answer)
 	must.Eq(t, MayHaveRun, owner.Claim(now.Add(2*time.Minute).Add(-2*time.Minute), Claim{Key: Key{8}, Born: now.Add(-25 * time.Hour), Attempt: 3}).Answer)
 	must.Eq(t, OtherRequest, owner.Claim(now, other).Answer)
-	must.True(t, owner.Settle(Settlement{Key: Key{7}, Attempt: 2, NotRun: true}), must.Sprint("another attempt's word is ignored"))
+	must.True(t, owner.Settle(now, Settlement{Key: Key{7}, Attempt: 2, NotRun: true}), must.Sprint("another attempt's word leaves the record"))
 	must.Eq(t, InProgress, owner.Claim(now, again).Answer)
-	owner.Settle(Settlement{Key: Key{7}, Attempt: 1, NotRun: true})
+	owner.Settle(now, Settlement{Key: Key{7}, Attempt: 1, NotRun: true})
+	must.Eq(t, NotReady, owner.Claim(now, again).Answer, must.Sprint("an attempt that was given up does not run"))
+	again.Attempt = 3
 	must.Eq(t, Run, owner.Claim(now, again).Answer)
-	owner.Settle(Settlement{Key: Key{7}, Attempt: 2, Ran: true, Status: 201})
+	owner.Settle(now, Settlement{Key: Key{7}, Attempt: 3, Ran: true, Status: 201})
 	verdict := owner.Claim(now, claim)
 	must.Eq(t, AlreadyRan, verdict.Answer)
 	must.Eq(t, 201, verdict.Status)
@@ -119,3 +121,36 @@
 	must.False(t, restarted.Has("a/1"))
 	must.True(t, restarted.Has("a/2"))
 }
+
+// TestWithdrawnClaim has settlements overtake their claims, as when an owner was frozen and reads two sessions at once.
+func TestWithdrawnClaim(t *testing.T) {
+	now := start.Add(time.Second)
+	claim := Claim{Key: Key{7}, Born: now, Attempt: 1, Digest: 5, RunBy: now.Add(time.Minute)}
+	again := claim
+	again.Attempt = 2
+
+	owner := servingOwner()
+	must.True(t, owner.Settle(now, Settlement{Key: claim.Key, Attempt: claim.Attempt, NotRun: true}))
+	must.Eq(t, NotReady, owner.Claim(now, claim).Answer)
+	must.Eq(t, Run, owner.Claim(now, again).Answer, must.Sprint("a caller who was told not-run tries again"))
+	must.True(t, owner.Settle(now, Settlement{Key: again.Key, Attempt: again.Attempt, NotRun: true}))
+	must.Eq(t, NotReady, owner.Claim(now, claim).Answer, must.Sprint("and the first claim comes once more"))
+}
+
+// TestWithdrawnClaimOfAnEarlierOwner hands over the record of a claim whose settlement the new owner already has.
+func TestWithdrawnClaimOfAnEarlierOwner(t *testing.T) {
+	now := start.Add(time.Second)
+	claim := Claim{Key: Key{7}, Born: now, Attempt: 1, Digest: 5, RunBy: now.Add(time.Minute)}
+	earlier, next := servingOwner(), &Keeper{Owner: Owner{Self: "b/1"}}
+	must.Eq(t, Run, earlier.Claim(now, claim).Answer)
+	second := earlier.Table().Change([]Incarnation{"a/1"}, []Incarnation{"b/1"})
+	next.TableRead(now, second, 2)
+	must.True(t, next.Settle(now, Settlement{Key: claim.Key, Attempt: claim.Attempt, NotRun: true}))
+	earlier.TableRead(now, second, 2)
+	asks, _ := next.tick(now)
+	keys, known := earlier.Give(asks["a/1"])
+	must.True(t, known)
+	next.Receive(keys)
+	claim.Attempt, claim.Epoch = 2, second.Epoch
+	must.Eq(t, Run, next.Claim(now, claim).Answer)
+}
--- a/core/idempotency/owner.go
+++ b/core/idempotency/owner.go
@@ -36,6 +36,10 @@
 	waiting map[Incarnation]time.Time // earlier owners not yet settled, to the next time to ask them
 	floor   time.Time                 // keys born before it are unknown
 	keys    map[Key]*Record
+
+	// withdrawn holds attempts that were given up before their claim came, to the time of forgetting them. A claim
+	// may wait at a frozen owner while the settlement overtakes it on a newer session.
+	withdrawn map[uint64]time.Time
 }
 
 // Table returns the newest table adopted, or nil.
@@ -139,6 +143,9 @@
 	if part.forgotten(now, claim.Born) {
 		return Verdict{Answer: MayHaveRun}
 	}
+	if _, withdrawn := part.withdrawn[claim.Attempt]; withdrawn {
+		return Verdict{Answer: NotReady, RetryAt: now.Add(notReadyRetry)}
+	}
 	part.keys[claim.Key] = &Record{
 		Key: claim.Key, Attempt: claim.Attempt, Digest: claim.Digest,
 		State: Running, RunBy: claim.RunBy, Expires: now.Add(Retention + Skew),
@@ -185,13 +192,16 @@
 }
 
 // Settle records what came of a claim and reports whether this owner keeps the key.
-func (owner *Owner) Settle(settlement Settlement) bool {
+func (owner *Owner) Settle(now time.Time, settlement Settlement) bool {
 	part := owner.partitions[settlement.Key.Partition()]
 	if part == nil || !part.owned {
 		return false
 	}
 	record := part.keys[settlement.Key]
 	if record == nil || record.Attempt != settlement.Attempt {
+		if settlement.NotRun {
+			part.withdraw(now, settlement.Attempt)
+		}
 		return true
 	}
 	switch {
@@ -204,3 +214,11 @@
 	}
 	return true
 }
+
+// withdraw has the claim of an attempt that was given up leave no record, should it come late.
+func (part *partition) withdraw(now time.Time, attempt uint64) {
+	if part.withdrawn == nil {
+		part.withdrawn = map[uint64]time.Time{}
+	}
+	part.withdrawn[attempt] = now.Add(Retention)
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -77,7 +77,7 @@
 
 // HandleSettle takes in a settlement and reports whether the key is kept here.
 func (entry *Entry) HandleSettle(settlement idempotency.Settlement) bool {
-	return entry.keys.settle(settlement)
+	return entry.keys.settle(entry.Clock(), settlement)
 }
 
 // HandleHandover gives the keys of partitions to their new owner; false means that the table is not known here yet.
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -40,10 +40,10 @@
 	return keys.keeper.Claim(now, claim)
 }
 
-func (keys *keys) settle(settlement idempotency.Settlement) bool {
+func (keys *keys) settle(now time.Time, settlement idempotency.Settlement) bool {
 	keys.mu.Lock()
 	defer keys.mu.Unlock()
-	return keys.keeper.Settle(settlement)
+	return keys.keeper.Settle(now, settlement)
 }
 
 func (keys *keys) give(handover idempotency.Handover) (idempotency.Keys, bool) {
@@ -137,7 +137,7 @@
 func (entry *Entry) settleOnce(settlement idempotency.Settlement) bool {
 	owner, _ := entry.ownerOf(settlement.Key)
 	if owner == entry.Incarnation {
-		return entry.keys.settle(settlement)
+		return entry.keys.settle(entry.Clock(), settlement)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), tableDeadline)
 	defer cancel()
