Have the list prolong an owner's sight and never begin one

Cause: the blind spots of the fuzzers. A test made for them, TestTakeoverFromALivingOwner, found a hole at its first run: an owner cut off from the store for 27 s was dropped, its keys were taken over after the fence; listed again, it read the list before the table, took that for a sight, and served from its old table beside the new owner: key 276 ran twice. In the product the list comes through other instances too, so that the list may well come before the table after a long outage of one machine.

Change: a reading of the list counts as a sight only while an earlier sight still holds; after a lapse the table must be read first.

Blind spots: drills of a takeover from an owner that lives on, listed and unlisted by turns, with readers that see it absent only and callers' clocks far ahead.

--- a/core/idempotency/fuzz_test.go
+++ b/core/idempotency/fuzz_test.go
@@ -217,10 +217,16 @@
 	})
 }
 
+// fuzzKey spreads keys over the partitions.
+func fuzzKey(key int) Key { return Key{13: byte(key >> 8), 14: byte(key >> 3), 15: byte(key * 37)} }
+
 // request starts a caller's request with a new or a known key.
 func (w *world) request(p *process, key int) {
 	if _, known := w.born[key]; !known {
 		callerSkew := time.Duration(rapid.IntRange(-900, 900).Draw(w.t, "caller-skew")) * time.Millisecond
+		if rapid.IntRange(0, 9).Draw(w.t, "clock") == 0 {
+			callerSkew = time.Duration(rapid.IntRange(0, 40).Draw(w.t, "ahead")) * time.Second
+		}
 		w.born[key] = w.now.Add(callerSkew)
 		if key%5 == 0 {
 			w.born[key] = time.Time{}
@@ -228,7 +234,7 @@
 	}
 	w.attempts++
 	claim := Claim{
-		Key: Key{14: byte(key >> 3), 15: byte(key * 37)}, Born: w.born[key], Attempt: w.attempts, Digest: uint64(key), RunBy: w.clock(p).Add(20 * time.Second),
+		Key: fuzzKey(key), Born: w.born[key], Attempt: w.attempts, Digest: uint64(key), RunBy: w.clock(p).Add(20 * time.Second),
 	}
 	r := &request{key: key, claim: claim}
 	p.requests[claim.Attempt] = r
@@ -498,7 +504,7 @@
 		}
 		w.calm(30)
 		for _, key := range slices.Sorted(maps.Keys(w.born)) {
-			if w.ran[key] == 1 {
+			if w.ran[key] == 1 || w.born[key].After(w.now) {
 				continue
 			}
 			w.request(w.pick("instance"), key)
--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -154,3 +154,22 @@
 	claim.Attempt, claim.Epoch = 2, second.Epoch
 	must.Eq(t, Run, next.Claim(now, claim).Answer)
 }
+
+// TestRelistedOwnerReadsTheTableFirst has an owner that was off the list for longer than a fence read the list before the table.
+func TestRelistedOwnerReadsTheTableFirst(t *testing.T) {
+	owner := servingOwner()
+	listed := func(at time.Time, self bool) Listing {
+		return Listing{At: at, AsOf: at, Names: []string{"a"}, Self: self}
+	}
+	claim := Claim{Epoch: 1, Key: Key{7}, Attempt: 1}
+	owner.ListRead(listed(start.Add(9*time.Second), true))
+	claim.Born = start.Add(15 * time.Second)
+	must.Eq(t, Run, owner.Claim(claim.Born, claim).Answer, must.Sprint("the list prolongs a sight"))
+	back := start.Add(time.Minute)
+	owner.ListRead(listed(back.Add(-time.Second), false))
+	owner.ListRead(listed(back, true))
+	claim.Key, claim.Born = Key{8}, back
+	must.Eq(t, NotReady, owner.Claim(back, claim).Answer, must.Sprint("the list does not begin one"))
+	owner.TableRead(back, owner.Table(), 1)
+	must.Eq(t, Run, owner.Claim(back, claim).Answer)
+}
--- a/core/idempotency/keeper.go
+++ b/core/idempotency/keeper.go
@@ -74,14 +74,16 @@
 // Revision returns the store's revision of the newest table.
 func (keeper *Keeper) Revision() uint64 { return keeper.revision }
 
-// ListRead takes in a reading of the instance list. Where the list says how old it is, being in it is a sight.
+// ListRead takes in a reading of the instance list. Where the list says how old it is, being in it prolongs a sight. It
+// does not begin one: once a sight has lapsed, others may have been served, and only the table tells.
 func (keeper *Keeper) ListRead(listing Listing) {
 	table := keeper.Table()
 	keeper.listed = listing.Self
 	keeper.Present(listing.At, func(i Incarnation) bool { return keeper.shows(&listing, i) })
 	keeper.noteMissing(listing)
-	if listing.Self && !listing.AsOf.IsZero() && table != nil && table.Has(keeper.Self) {
-		keeper.Sight(listing.AsOf.Add(-Skew))
+	seen := listing.AsOf.Add(-Skew)
+	if listing.Self && !listing.AsOf.IsZero() && table != nil && table.Has(keeper.Self) && keeper.Serving(seen) {
+		keeper.Sight(seen)
 	}
 	keeper.listAt = listing.At
 }
--- a/core/pool/fuzz_test.go
+++ b/core/pool/fuzz_test.go
@@ -25,6 +25,9 @@
 	os.Exit(m.Run())
 }
 
+// recentEnds is how many of the latest ended grants a late renewal may be of.
+const recentEnds = 5
+
 // poolWorld drives two homes of one slice, the second standing for a deputy after a takeover, with asks, reports
 // of every outcome, lost reports, renewals, ticks, probes, and changes of the list. The oracle checks slots, the
 // floor, draining, exclusions and that every queued ask gets a decision.
@@ -39,6 +42,13 @@
 	queued   map[uint64]queuedAsk
 	leaving  map[string]bool
 	inFlight [2]map[string]int
+	ended    [2][]endedAttempt
+}
+
+// endedAttempt is a grant whose end the home has been told.
+type endedAttempt struct {
+	attempt uint64
+	grant   grantedAttempt
 }
 
 type grantedAttempt struct {
@@ -167,10 +177,22 @@
 	if !report.Overdue {
 		delete(w.granted, attempt)
 		w.inFlight[g.home][g.server]--
+		w.ended[g.home] = append(w.ended[g.home], endedAttempt{attempt, g})
 	}
 	w.homes[g.home].Report(w.now, report)
 }
 
+// renewLate delivers a renewal that was sent before the grant's report and comes after it.
+func (w *poolWorld) renewLate() {
+	h := rapid.IntRange(0, 1).Draw(w.t, "home")
+	if len(w.ended[h]) == 0 {
+		return
+	}
+	late := rapid.SampledFrom(w.ended[h][max(0, len(w.ended[h])-recentEnds):]).Draw(w.t, "ended")
+	held := []pool.Held{{Attempt: late.attempt, Server: late.grant.server}}
+	w.homes[h].Renew(w.now, fmt.Sprintf("e%d", late.grant.entry), fmt.Sprintf("d%d", late.grant.entry%3), held)
+}
+
 // tick lets time pass; the entry instances renew what they hold before it lapses.
 func (w *poolWorld) tick(by time.Duration) {
 	for passed := time.Duration(0); passed < by; passed += time.Second {
@@ -192,12 +214,15 @@
 	}
 }
 
-func (w *poolWorld) restore() {
-	ejected := w.homes[0].Ejections()
+// takeOver replaces the second home by a fresh one, which entry instances tell what they know.
+func (w *poolWorld) takeOver(known ...[]pool.Ejected) {
 	w.homes[1] = &pool.Pool{}
+	w.ended[1] = nil
 	w.homes[1].SetPolicy(w.policy)
 	w.homes[1].SetServers(w.now, w.members)
-	w.homes[1].Restore(w.now, ejected)
+	for _, ejected := range known {
+		w.homes[1].Restore(w.now, ejected)
+	}
 	for attempt, g := range w.granted {
 		if g.home == 1 {
 			w.homes[1].Renew(w.now, fmt.Sprintf("e%d", g.entry), "d0", []pool.Held{{Attempt: attempt, Server: g.server}})
@@ -210,6 +235,19 @@
 	}
 }
 
+// differingViews returns what entry instances believe that have heard of different ejections, together any number.
+func (w *poolWorld) differingViews() [][]pool.Ejected {
+	views := make([][]pool.Ejected, rapid.IntRange(1, 3).Draw(w.t, "views"))
+	for i := range views {
+		for _, m := range w.members {
+			if rapid.Bool().Draw(w.t, "ejected") {
+				views[i] = append(views[i], pool.Ejected{Server: m.Name, Until: w.now.Add(5 * time.Second), Count: 1})
+			}
+		}
+	}
+	return views
+}
+
 // check is the oracle of what must hold at all times.
 func (w *poolWorld) check() {
 	w.drain()
@@ -219,6 +257,11 @@
 		}
 	}
 	for h := range w.homes {
+		for _, status := range w.homes[h].Status(w.now) {
+			if status.InFlight != w.inFlight[h][status.Server] {
+				w.t.Fatalf("%s runs %d requests and counts %d", status.Server, w.inFlight[h][status.Server], status.InFlight)
+			}
+		}
 		ejected := w.homes[h].Ejections()
 		out := 0
 		live := 0
@@ -266,8 +309,10 @@
 			}
 			w.drain()
 		}),
-		"takeover": act(w.restore),
-		"":         act(w.check),
+		"renew-late": act(w.renewLate),
+		"takeover":   act(func() { w.takeOver(w.homes[0].Ejections()) }),
+		"views":      act(func() { w.takeOver(w.differingViews()...) }),
+		"":           act(w.check),
 	}
 }
 
