Have asks go on to other slices rather than to a server that likely fails

Cause: on the grown sites a service has two to five slices. An ask went on to the next slice only when its own had no free slot at all.

Change: an ask that may go on is refused at once when the cheapest free server likely fails (the thresholds are those for waiting), and goes to up to four slices before it takes or awaits what its own has. TestNoWaitLeavesServersThatLikelyFail fails before.

The small sites have one slice a service: unchanged.

--- a/core/pool/placement.go
+++ b/core/pool/placement.go
@@ -85,11 +85,9 @@
 	return oldest
 }
 
-// betterWaits reports whether an ask does better to wait for a slot of a busy server than to take the best free one.
+// betterWaits reports whether an ask does better to wait for a slot of a busy server than to take the best free one, or to go
+// on to the other slices of the service.
 func (pool *Pool) betterWaits(now time.Time, ask *Ask, best *server) bool {
-	if ask.Hedge || ask.NoWait || !ask.since.IsZero() && now.Sub(ask.since) >= betterWait {
-		return false
-	}
 	least := likelyFailsOnce
 	if ask.retriable() {
 		least = likelyFails
@@ -97,6 +95,12 @@
 	if best.fault.chance(now) < least {
 		return false
 	}
+	if ask.NoWait {
+		return true
+	}
+	if ask.Hedge || !ask.since.IsZero() && now.Sub(ask.since) >= betterWait {
+		return false
+	}
 	for _, s := range pool.servers {
 		if s.member.Leaving || s.inFlight < s.limit(now) || ask.excludes(s) {
 			continue
--- a/core/pool/placement_test.go
+++ b/core/pool/placement_test.go
@@ -311,3 +311,31 @@
 	must.Eq(t, pool.Granted, decision.Verdict)
 	must.Eq(t, "s1", decision.Server)
 }
+
+// TestNoWaitLeavesServersThatLikelyFail checks that an ask which goes on to other slices is not placed on a server that likely
+// fails, and that one which has asked them all is.
+func TestNoWaitLeavesServersThatLikelyFail(t *testing.T) {
+	p := &pool.Pool{}
+	p.SetPolicy(pool.Policy{Slots: 4, Connections: 400, Placement: rules.Proven})
+	p.SetServers(benchStart, []pool.Member{{Name: "s0"}, {Name: "s1"}})
+	now := benchStart
+	attempt := uint64(0)
+	ask := func(noWait bool) pool.Decision {
+		now = now.Add(100 * time.Millisecond)
+		attempt++
+		return p.Ask(now, pool.Ask{Attempt: attempt, Entry: "e0", Number: 1, NoWait: noWait, Deadline: now.Add(time.Second)})
+	}
+	end := func(d pool.Decision, outcome pool.Outcome) {
+		must.Eq(t, pool.Granted, d.Verdict)
+		p.Report(now, pool.Report{Attempt: d.Attempt, Server: d.Server, Entry: "e0", Outcome: outcome, FirstByte: time.Millisecond})
+	}
+	for range 6 {
+		end(ask(false), pool.ServerError)
+	}
+	must.Eq(t, pool.Full, ask(true).Verdict)
+	end(ask(false), pool.Answered)
+	for range 40 {
+		end(ask(false), pool.Answered)
+	}
+	must.Eq(t, pool.Granted, ask(true).Verdict)
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -40,7 +40,7 @@
 	Number      int      // attempt number of the request, from 1
 	Exclude     []string // servers that this request has tried
 	Verify      string   // suspect server to verify with a copy of an answered request, empty for a caller's request
-	NoWait      bool     // refused at once when no slot is free
+	NoWait      bool     // refused at once when no slot is free of a server that likely answers; other slices are asked too
 	Priority    int      // 0 is served first
 	Large       bool     // the answer is expected to be large
 	Last        bool     // no attempt is left after this one
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -28,17 +28,21 @@
 	return home.Slice{Service: service, Index: int(seed % uint64(slices))}
 }
 
-// AcquireAny acquires a grant in a service's slice, or in the next one while that has no free slot: requests that are
-// alike have the same slice first, and many of them must not wait while the others' slots are free.
+// mostSlicesAsked bounds the slices of a service that one ask goes to: each takes a message there and back.
+const mostSlicesAsked = 4
+
+// AcquireAny acquires a grant in a service's slice, or in another one while that has no free slot of a server that likely
+// answers: requests that are alike have the same slice first, and they must not wait, nor go to servers that fail, while
+// other slices have free ones in order.
 func (entry *Entry) AcquireAny(ctx context.Context, slice home.Slice, ask pool.Ask) (*Grant, pool.Decision) {
 	slices := entry.members.plan().slices(slice.Service)
 	if slices <= 1 {
 		return entry.Acquire(ctx, slice, ask)
 	}
-	next := home.Slice{Service: slice.Service, Index: (slice.Index + 1) % slices}
 	eager := ask
 	eager.NoWait = true
-	for _, at := range []home.Slice{slice, next} {
+	for i := range min(slices, mostSlicesAsked) {
+		at := home.Slice{Service: slice.Service, Index: (slice.Index + i) % slices}
 		grant, decision := entry.Acquire(ctx, at, eager)
 		if grant != nil || decision.Verdict != pool.Full && decision.Verdict != pool.Limited {
 			return grant, decision
