Place homes by the processor share of a machine

Cause: on the grown sites machines get 0.16 to 0.8 cores, and homes were placed without regard to it.

Change: an instance announces the processor time that it gets (setting processor-cores), and homes, readers of lists and directory answers rank instances by highest random weight with the square of it as weight: what an instance can take grows with it, and so does how soon it answers. Alike instances rank as before. TestHomesGoByTheProcessor fails before.

--- a/adapters/instances/http/http.go
+++ b/adapters/instances/http/http.go
@@ -40,7 +40,9 @@
 	Caller   netip.AddrPort `json:"caller-address"`
 	Peer     netip.AddrPort `json:"peer-address"`
 	Operator netip.AddrPort `json:"operator-address,omitzero"`
-	State    string         `json:"state"`
+	// Processor is the processor time that the instance gets, in cores.
+	Processor float64 `json:"processor-cores,omitempty"`
+	State     string  `json:"state"`
 }
 
 // Server is a backend server on the wire.
@@ -137,18 +139,20 @@
 // Instance checks and returns an entry instance.
 func (e *Entry) Instance() (instance.Entry, error) {
 	state, known := stateOf(e.State)
-	if !known || e.Name == "" || !e.Caller.IsValid() || !e.Peer.IsValid() {
+	if !known || e.Name == "" || !e.Caller.IsValid() || !e.Peer.IsValid() || e.Processor < 0 {
 		return instance.Entry{}, invalid("entry instance", e.Name)
 	}
 	return instance.Entry{
-		Name: e.Name, Domain: e.Domain, Region: e.Region, Caller: e.Caller, Peer: e.Peer, Operator: e.Operator, State: state,
+		Name: e.Name, Domain: e.Domain, Region: e.Region, Caller: e.Caller, Peer: e.Peer, Operator: e.Operator,
+		Processor: e.Processor, State: state,
 	}, nil
 }
 
 // DocumentOf returns an entry instance for the wire.
 func DocumentOf(e instance.Entry) Entry {
 	return Entry{
-		Name: e.Name, Domain: e.Domain, Region: e.Region, Caller: e.Caller, Peer: e.Peer, Operator: e.Operator, State: e.State.String(),
+		Name: e.Name, Domain: e.Domain, Region: e.Region, Caller: e.Caller, Peer: e.Peer, Operator: e.Operator,
+		Processor: e.Processor, State: e.State.String(),
 	}
 }
 
--- a/adapters/peer/yamux/lists.go
+++ b/adapters/peer/yamux/lists.go
@@ -36,6 +36,7 @@
 		message.Items = append(message.Items, &wire.ListedEntry{
 			Name: item.Name, Revision: item.Revision, Domain: e.Domain, Region: e.Region,
 			Caller: addressTo(e.Caller), Peer: addressTo(e.Peer), Operator: addressTo(e.Operator), Leaving: e.State == instance.Leaving,
+			Processor: e.Processor,
 		})
 	}
 	return message
@@ -46,7 +47,7 @@
 		Whole: message.GetWhole(), Revision: message.GetRevision(), Removals: removalsFrom(message.GetRemovals(), now),
 	}
 	for _, m := range message.GetItems() {
-		e := instance.Entry{Name: m.GetName(), Domain: m.GetDomain(), Region: m.GetRegion(), State: stateFrom(m.GetLeaving())}
+		e := instance.Entry{Name: m.GetName(), Domain: m.GetDomain(), Region: m.GetRegion(), Processor: m.GetProcessor(), State: stateFrom(m.GetLeaving())}
 		var err error
 		if e.Caller, err = netip.ParseAddrPort(m.GetCaller()); err != nil {
 			return changes, err
--- a/adapters/peer/yamux/lists_test.go
+++ b/adapters/peer/yamux/lists_test.go
@@ -21,7 +21,7 @@
 		Age: 300 * time.Millisecond,
 		Entries: instance.Changes[instance.Entry]{Whole: true, Revision: 7, Items: []instance.Item[instance.Entry]{{Name: "entry-a", Revision: 5, Value: instance.Entry{
 			Name: "entry-a", Domain: "domain-a", Region: "region", Caller: netip.MustParseAddrPort("10.0.0.1:80"),
-			Peer: netip.MustParseAddrPort("10.0.0.1:81"), Operator: netip.MustParseAddrPort("10.0.0.1:82"), State: instance.Leaving,
+			Peer: netip.MustParseAddrPort("10.0.0.1:81"), Operator: netip.MustParseAddrPort("10.0.0.1:82"), Processor: 0.16, State: instance.Leaving,
 		}}}},
 		Servers: instance.Changes[instance.Server]{
 			Revision: 9,
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -2,6 +2,7 @@
 package home
 
 import (
+	"math"
 	"slices"
 	"strconv"
 
@@ -40,10 +41,24 @@
 	return int(xxhash.Sum64String(server) % uint64(slices))
 }
 
-// Candidate is an entry instance with its hash, ready for ranking.
+// Candidate is an entry instance with its hash and share, ready for ranking.
 type Candidate struct {
 	Entry instance.Entry
 	hash  uint64
+	share float64 // of the work, relative to others
+}
+
+// unknownProcessor stands for the cores of an instance that does not say.
+const unknownProcessor = 1.0
+
+// shareOf returns an instance's share of the work: the square of its cores. What it can take grows with them, and so does
+// how soon it answers.
+func shareOf(entry *instance.Entry) float64 {
+	cores := entry.Processor
+	if cores <= 0 {
+		cores = unknownProcessor
+	}
+	return cores * cores
 }
 
 // Candidates prepares the live entry instances for ranking.
@@ -51,7 +66,7 @@
 	candidates := make([]Candidate, 0, len(entries))
 	for _, entry := range entries {
 		if entry.State == instance.Live {
-			candidates = append(candidates, Candidate{Entry: entry, hash: xxhash.Sum64String(entry.Name)})
+			candidates = append(candidates, Candidate{Entry: entry, hash: xxhash.Sum64String(entry.Name), share: shareOf(&entry)})
 		}
 	}
 	return candidates
@@ -60,7 +75,7 @@
 // Choose returns the indices of a slice's home and of its deputy in another failure domain, -1 for none.
 //
 // It ranks by highest random weight (Thaler and Ravishankar, 1998), so that a change of one
-// instance moves only the slices of that instance. Without a second domain the deputy is the next.
+// instance moves only the slices of that instance, and gives each as many slices as its share says. Without a second domain the deputy is the next.
 func Choose(slice Slice, candidates []Candidate) (first, deputy int) {
 	key := slice.Key()
 	first = best(key, candidates, func(int) bool { return true })
@@ -120,17 +135,21 @@
 
 // best returns the index of the highest ranked candidate that is allowed, or -1.
 func best(key uint64, candidates []Candidate, allowed func(int) bool) int {
-	found, score := -1, uint64(0)
+	found, score := -1, 0.0
 	for i := range candidates {
-		if s := candidates[i].Weight(key); (found < 0 || s > score) && allowed(i) {
+		if s := candidates[i].Score(key); (found < 0 || s > score) && allowed(i) {
 			found, score = i, s
 		}
 	}
 	return found
 }
 
-// Weight returns the candidate's score for a key's hash.
-func (candidate *Candidate) Weight(key uint64) uint64 { return Weight(key, candidate.hash) }
+// Score returns the candidate's score for a key's hash; the highest ranks first. The logarithm of a uniform number, divided by
+// a share, is highest with a chance in proportion to the share.
+func (candidate *Candidate) Score(key uint64) float64 {
+	uniform := (float64(Weight(key, candidate.hash)) + 1) / math.Exp2(64)
+	return math.Log(uniform) / candidate.share
+}
 
 // Weight mixes a key's hash with a member's into the member's score for the key.
 func Weight(key, member uint64) uint64 {
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -95,3 +95,25 @@
 		})
 	}
 }
+
+// TestHomesGoByTheProcessor checks that strong instances decide more slices, in proportion to the square of their cores.
+func TestHomesGoByTheProcessor(t *testing.T) {
+	all := entries(24, 3)
+	for i := range all {
+		all[i].Processor = 0.16
+	}
+	for i := range 3 {
+		all[i].Processor = 0.8
+	}
+	candidates := Candidates(all)
+	const slices = 2000
+	strong := 0
+	for i := range slices {
+		first, _ := Choose(Slice{Service: fmt.Sprintf("service-%d", i)}, candidates)
+		if candidates[first].Entry.Processor > 0.5 {
+			strong++
+		}
+	}
+	// Three times 0.64 beside 21 times 0.0256: 78 of 100.
+	must.Between(t, slices*75/100, strong, slices*81/100)
+}
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -34,7 +34,9 @@
 	Peer   netip.AddrPort // address for other entry instances
 	// Operator is the address for operators.
 	Operator netip.AddrPort
-	State    State
+	// Processor is the processor time that it gets, in cores; zero if it does not say.
+	Processor float64
+	State     State
 }
 
 // Server is a backend server of a service.
--- a/core/instance/view.go
+++ b/core/instance/view.go
@@ -70,7 +70,7 @@
 func (view *View) Digest(now time.Time) uint64 {
 	digest := xxhash.New()
 	for _, e := range view.Entries(now) {
-		fmt.Fprintln(digest, e.Name, e.Domain, e.Region, e.Caller, e.Peer, e.Operator, e.State)
+		fmt.Fprintln(digest, e.Name, e.Domain, e.Region, e.Caller, e.Peer, e.Operator, e.Processor, e.State)
 	}
 	for _, s := range view.Servers(now) {
 		fmt.Fprintln(digest, s.Name, s.Service, s.Domain, s.Address, s.Slots, s.State, s.Started.UnixMilli(), s.WarmAt.UnixMilli())
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -187,6 +187,7 @@
 	}
 	daemon.entry = &entry.Entry{
 		Name: s.Name, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: peer, Operator: s.Operator, Incarnation: incarnation,
+		Processor:  s.Processor,
 		FirstStart: s.FirstStart, DecideAlone: s.DecideAlone, Seeds: s.Seeds, Keep: time.Duration(s.Callers.Keep), Addresses: s.Callers.Addresses,
 		Retries:   entry.Retries{Share: s.Retries.Share, Burst: homeBurst * s.Retries.Burst},
 		Intervals: entry.Intervals{List: time.Duration(s.Intervals.InstanceList), Table: time.Duration(s.Intervals.KeyTable)},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,6 +119,7 @@
 	Caller      netip.AddrPort // own addresses, as announced
 	Peer        netip.AddrPort
 	Operator    netip.AddrPort
+	Processor   float64          // processor time that it gets, in cores; 0 if unknown
 	FirstStart  bool             // the whole fleet starts for the first time
 	DecideAlone bool             // no home is asked: the baseline that shared decisions are measured against
 	Seeds       []netip.AddrPort // peer addresses of some instances, to ask while the platform does not answer at the start
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -298,6 +298,7 @@
 	defer stop()
 	entry.Registrar.Announce(ctx, instance.Entry{
 		Name: entry.Name, Domain: entry.Domain, Region: entry.Region, Caller: entry.Caller, Peer: entry.Peer, Operator: entry.Operator,
+		Processor: entry.Processor,
 	})
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -54,6 +54,9 @@
 	default:
 		c.fail("log-level", "use debug, info, warn or error")
 	}
+	if settings.Processor < 0 {
+		c.fail("processor-cores", "use 0 for unknown, or the cores that the instance gets, such as 0.5")
+	}
 	if settings.GoMemoryLimit < 0 {
 		c.fail("memory-limit-bytes", "use 0 for none, or a number of bytes")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,6 +39,7 @@
 	Traces         Traces           `toml:"traces"`
 	JitterSeed     uint64           `toml:"jitter-seed"`
 	GoMemoryLimit  int64            `toml:"memory-limit-bytes"`
+	Processor      float64          `toml:"processor-cores"` // processor time that the instance gets, in cores
 	Callers        Callers          `toml:"callers"`
 	Retries        Retries          `toml:"retries"`
 	Floor          float64          `toml:"floor"`
