--- a/adapters/caller/http/decisions.go
+++ b/adapters/caller/http/decisions.go
@@ -114,7 +114,7 @@
 	line.Write(append([]zap.Field{
 		zap.String("request", exchange.terms.ID), zap.Uint64("fingerprint", exchange.fingerprint), zap.String("service", exchange.service.Name),
 		zap.String("route", exchange.route.Host+exchange.route.Prefix), zap.Uint64("rules-version", version),
-		zap.Duration("list-age", exchange.handler.Entry.ListAge(at)),
+		exchange.handler.Entry.LoggedListAge(at),
 		zap.Duration("age", at.Sub(exchange.startedAt)), zap.Duration("left", exchange.request.Deadline.Sub(at)),
 	}, more...)...)
 }
@@ -235,6 +235,6 @@
 	now := handler.Clock()
 	handler.Log.Info("request: turned away", append([]zap.Field{
 		zap.String("request", terms.ID), zap.String("method", r.Method), zap.String("host", r.Host), zap.String("path", r.URL.Path),
-		zap.String("team", terms.Team), zap.Uint64("rules-version", version), zap.Duration("list-age", handler.Entry.ListAge(now)),
+		zap.String("team", terms.Team), zap.Uint64("rules-version", version), handler.Entry.LoggedListAge(now),
 	}, answerFields(now, answer)...)...)
 }
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -153,6 +154,15 @@
 	return age
 }
 
+// LoggedListAge returns the age of the lists for the log, nothing before the platform has vouched for any.
+func (entry *Entry) LoggedListAge(now time.Time) zap.Field {
+	age := entry.ListAge(now)
+	if age == math.MaxInt64 {
+		return zap.Skip()
+	}
+	return zap.Duration("list-age", age)
+}
+
 // readers returns the instances of this one's failure domain that read the lists for the others, the first one first.
 func (entry *Entry) readers() []instance.Entry {
 	plan := entry.members.plan()
--- a/entry/lists_test.go
+++ b/entry/lists_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
 
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/wait"
@@ -157,3 +158,13 @@
 		})
 	}
 }
+
+// TestUnknownListAgeIsNotLogged checks that the log holds no age before the platform has vouched for the lists.
+func TestUnknownListAgeIsNotLogged(t *testing.T) {
+	e := newTestEntry(listOf(1, 1, 1))
+	e.Feed = &testFeed{}
+	now := time.Unix(1_800_000_000, 0)
+	must.Eq(t, zap.Skip(), e.LoggedListAge(now))
+	e.lists.heardAt = now.Add(-time.Second)
+	must.Eq(t, zap.Duration("list-age", time.Second), e.LoggedListAge(now))
+}
--- a/entry/members.go
+++ b/entry/members.go
@@ -166,7 +166,7 @@
 	if changed {
 		old, next := entry.members.rebuild(now, nil)
 		entry.Log.Info("instances: the list changed",
-			zap.Int("entries", len(list.Entries)), zap.Int("backend-servers", len(list.Servers)), zap.Duration("list-age", entry.ListAge(now)),
+			zap.Int("entries", len(list.Entries)), zap.Int("backend-servers", len(list.Servers)), entry.LoggedListAge(now),
 			zap.Dict("instances", differenceFields(instance.EntryDifference(old.entries, next.entries))...),
 			zap.Dict("servers", differenceFields(instance.ServerDifference(old.listed, next.listed))...))
 	}
