--- a/core/home/home.go
+++ b/core/home/home.go
@@ -75,7 +75,8 @@
 // Choose returns the indices of a slice's home and of its deputy in another failure domain, -1 for none.
 //
 // It ranks by highest random weight (Thaler and Ravishankar, 1998), so that a change of one
-// instance moves only the slices of that instance, and gives each as many slices as its share says. Without a second domain the deputy is the next.
+// instance moves only the slices of that instance, and gives each as many slices as its share says. Without a second domain
+// the deputy is the next.
 func Choose(slice Slice, candidates []Candidate) (first, deputy int) {
 	key := slice.Key()
 	first = best(key, candidates, func(int) bool { return true })
