Choose a server once for an ask that does not wait

An ask to a service of several slices chose a server to see whether there is a slot, and once more to grant it. The first choice is kept; nothing between the two changes it. The decisions stay the same.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -227,8 +227,15 @@
 	if ask.Verify != "" {
 		return pool.verify(now, &ask)
 	}
-	if ask.NoWait && !pool.hasSlot(now, &ask) {
-		return Decision{Attempt: ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)}
+	var s *server
+	var r rank
+	if ask.NoWait {
+		if pool.queue.len() == 0 {
+			s, r = pool.choose(now, &ask)
+		}
+		if s == nil {
+			return Decision{Attempt: ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)}
+		}
 	}
 	if ask.Number <= 1 {
 		if granted, retryAt := pool.rate.Take(now, pool.policy.Limit, 1); granted == 0 {
@@ -242,16 +249,13 @@
 	if pool.queue.len() > 0 && !ask.Hedge {
 		return pool.enqueue(now, ask)
 	}
-	if s, r := pool.choose(now, &ask); s != nil {
-		return pool.grant(now, &ask, s, r)
+	if s == nil {
+		s, r = pool.choose(now, &ask)
 	}
-	return pool.enqueue(now, ask)
-}
-
-// hasSlot reports whether an ask would get a slot now.
-func (pool *Pool) hasSlot(now time.Time, ask *Ask) bool {
-	s, _ := pool.choose(now, ask)
-	return s != nil && pool.queue.len() == 0
+	if s == nil {
+		return pool.enqueue(now, ask)
+	}
+	return pool.grant(now, &ask, s, r)
 }
 
 // running reports whether a request is at a server now.
