Share the end of troubles and the delivery of old messages in the key fuzzer

Two tests healed the world by hand beside the action for it, and the drill had its own copy of the delivery loop and of the instances' names.

--- a/core/idempotency/fuzz_test.go
+++ b/core/idempotency/fuzz_test.go
@@ -358,14 +358,25 @@
 				w.tick(p)
 			}
 		}
-		for range len(w.bag) * 2 {
-			if len(w.bag) > 0 {
-				w.deliver(0)
-			}
+		w.deliverOldest(2 * len(w.bag))
+	}
+}
+
+// deliverOldest takes up to a number of messages out of the bag, those that have been in it for longest.
+func (w *world) deliverOldest(count int) {
+	for range count {
+		if len(w.bag) > 0 {
+			w.deliver(0)
 		}
 	}
 }
 
+// heal ends the troubles of the network and of the store.
+func (w *world) heal() {
+	clear(w.cut)
+	w.storeDown = false
+}
+
 func (w *world) pick(label string) *process {
 	return w.instances[rapid.SampledFrom(slices.Sorted(maps.Keys(w.instances))).Draw(w.t, label)]
 }
@@ -423,7 +434,7 @@
 				}
 			}
 		}),
-		"heal":   act(func() { clear(w.cut); w.storeDown = false }),
+		"heal":   act(w.heal),
 		"store":  act(func() { w.storeDown = !w.storeDown }),
 		"unlist": act(func() { w.unlist(w.pick("instance").name) }),
 		"relist": act(func() { w.relist(w.pick("instance").name) }),
@@ -497,8 +508,7 @@
 		}
 		t.Repeat(faults)
 		w.t = t
-		clear(w.cut)
-		w.storeDown = false
+		w.heal()
 		for _, p := range w.instances {
 			p.paused = false
 		}
@@ -524,8 +534,7 @@
 		delete(faults, "leave")
 		t.Repeat(faults)
 		w.t = t
-		clear(w.cut)
-		w.storeDown = false
+		w.heal()
 		for _, p := range w.instances {
 			p.paused, p.keeper.Leaving = false, false
 			w.now = w.now.Add(flapPeriod)
--- a/core/idempotency/takeover_test.go
+++ b/core/idempotency/takeover_test.go
@@ -1,6 +1,8 @@
 package idempotency
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,7 +54,7 @@
 // work has each instance read what it reaches.
 func (d *drill) work() {
 	_, listed := d.listing[d.owner]
-	for _, name := range []string{"e0", "e1", "e2", "e3", "e4"} {
+	for _, name := range slices.Sorted(maps.Keys(d.instances)) {
 		p := d.instances[name]
 		if name == d.owner || !listed || !d.readsAbsent {
 			d.readList(p, 0)
@@ -60,11 +62,7 @@
 		d.readTable(p)
 		d.tick(p)
 	}
-	for range 3 * len(d.bag) {
-		if len(d.bag) > 0 {
-			d.deliver(0)
-		}
-	}
+	d.deliverOldest(3 * len(d.bag))
 }
 
 // ownedKey returns a new key of the owner's partitions.
