--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -14,6 +14,7 @@
 
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
+	"github.com/sequoiaspan/sequoiaspan/entry"
 )
 
 // Connection handling.
@@ -141,20 +142,31 @@
 }
 
 // Probe checks a server's health on a new connection.
-func (backend *Backend) Probe(ctx context.Context, probe pool.Probe, path string) (healthy, leaving bool) {
+func (backend *Backend) Probe(ctx context.Context, probe pool.Probe, path string) (healthy bool, notice entry.Notice) {
 	backend.once.Do(backend.init)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+probe.Address.String()+path, nil)
 	if err != nil {
-		return false, false
+		return false, entry.Notice{}
 	}
 	response, err := backend.fresh.RoundTrip(request)
 	if err != nil {
-		return false, false
+		return false, entry.Notice{}
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, probeBytes))
-	leaving = backend.Dialect.Reply(dialect.Terms{}, response).Leaving
-	return err == nil && backend.Dialect.Healthy(probe.Server, response) && !leaving, leaving
+	notice = noticeOf(backend.heard(response))
+	return err == nil && backend.Dialect.Healthy(probe.Server, response) && !notice.Leaving, notice
+}
+
+// heard returns what a server says with an answer to a request of this instance's own.
+func (backend *Backend) heard(response *http.Response) dialect.Reply {
+	// A word that makes no sense is left out here; answers to callers' requests bring it to the log.
+	said, _ := backend.Dialect.Reply(time.Now(), dialect.Terms{}, response)
+	return said
+}
+
+func noticeOf(said dialect.Reply) entry.Notice {
+	return entry.Notice{Leaving: said.Leaving, PausedUntil: said.PausedUntil}
 }
 
 // Close closes idle connections.
--- a/adapters/backend/http/replay.go
+++ b/adapters/backend/http/replay.go
@@ -46,18 +46,19 @@
 		case <-late.C:
 			cancel()
 		case r := <-replies:
-			grant.Done(backend.reportOf(ctx, r, progress, time.Since(started)))
+			grant.Done(backend.reportOf(ctx, grant, r, progress, time.Since(started)))
 			return
 		}
 	}
 }
 
 // reportOf tells what came of a copy, and closes its answer.
-func (backend *Backend) reportOf(ctx context.Context, r reply, progress *Progress, took time.Duration) pool.Report {
+func (backend *Backend) reportOf(ctx context.Context, grant *entry.Grant, r reply, progress *Progress, took time.Duration) pool.Report {
 	said := dialect.Reply{}
 	if r.err == nil {
 		defer r.response.Body.Close()
-		said = backend.Dialect.Reply(dialect.Terms{}, r.response)
+		said = backend.heard(r.response)
+		grant.Hear(noticeOf(said))
 	}
 	switch {
 	case r.err != nil && ctx.Err() != nil:
@@ -67,7 +68,7 @@
 	case r.err != nil:
 		return pool.Report{Outcome: pool.Reset}
 	case said.Refused || r.response.StatusCode == http.StatusServiceUnavailable:
-		return pool.Report{Outcome: pool.Shed, Leaving: said.Leaving}
+		return pool.Report{Outcome: pool.Shed, Leaving: said.Leaving, PausedUntil: said.PausedUntil}
 	case IsServerError(r.response.StatusCode):
 		return pool.Report{Outcome: pool.ServerError, Leaving: said.Leaving}
 	}
--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	backend "github.com/sequoiaspan/sequoiaspan/adapters/backend/http"
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
@@ -100,7 +102,7 @@
 func (exchange *exchange) answered(a *attempt, response *http.Response) bool {
 	a.response, a.firstByte = response, exchange.now().Sub(a.sentAt)
 	exchange.handler.firstBytes.Observe(a.firstByte)
-	a.said = exchange.handler.Dialect.Reply(exchange.terms, response)
+	exchange.hear(a)
 	if a.said.Foreign {
 		_ = response.Body.Close()
 		return exchange.failed(a, errForeign)
@@ -116,6 +118,18 @@
 	return exchange.deliver(a)
 }
 
+// hear takes in what a server says of the attempt and of itself. What comes with an answer to another request is left out.
+func (exchange *exchange) hear(a *attempt) {
+	said, err := exchange.handler.Dialect.Reply(exchange.now(), exchange.terms, a.response)
+	a.said = said
+	if err != nil {
+		exchange.explain("request: a header of a backend server makes no sense and is left out", zap.String("backend-server", a.grant.Server), zap.Error(err))
+	}
+	if !said.Foreign {
+		a.grant.Hear(entry.Notice{Leaving: said.Leaving, PausedUntil: said.PausedUntil})
+	}
+}
+
 // deliver passes an answer on and ends the exchange.
 func (exchange *exchange) deliver(a *attempt) bool {
 	delete(exchange.out, a.id)
@@ -154,7 +168,7 @@
 func (exchange *exchange) shed(a *attempt, refused bool) bool {
 	delete(exchange.out, a.id)
 	exchange.logFailed(a, pool.Shed, nil)
-	a.grant.Done(pool.Report{Outcome: pool.Shed, Leaving: a.said.Leaving || a.said.Moved, Reused: a.progress.Reused()})
+	a.grant.Done(pool.Report{Outcome: pool.Shed, Leaving: a.said.Leaving || a.said.Moved, PausedUntil: a.said.PausedUntil, Reused: a.progress.Reused()})
 	exchange.keepSpare(a, !refused)
 	return exchange.again(retry.Failure{Wrote: true, Refused: refused, Replayable: exchange.body.replayable()})
 }
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -242,7 +242,7 @@
 		return nil, err
 	}
 	a.response, a.firstByte = response, exchange.now().Sub(a.sentAt)
-	a.said = exchange.handler.Dialect.Reply(exchange.terms, response)
+	exchange.hear(a)
 	return a, nil
 }
 
--- a/adapters/peer/yamux/client.go
+++ b/adapters/peer/yamux/client.go
@@ -43,6 +43,7 @@
 	Clock       func() time.Time
 	Versions    func() (rulesVersion, tableEpoch uint64)
 	OnVersions  func(from entry.Peer, rulesVersion, tableEpoch uint64)
+	Greeting    func(peer string) entry.Renewal // told to a peer first in each session, nil for nothing
 	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu        sync.Mutex
@@ -211,11 +212,26 @@
 	if err := l.stream.send(&wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}); err != nil {
 		return nil, err
 	}
+	if err := client.greet(l); err != nil {
+		return nil, err
+	}
 	go l.stream.write()
 	go client.read(l)
 	return l, nil
 }
 
+// greet tells a peer first what it must know before it decides on anything: it may have started anew.
+func (client *Client) greet(l *link) error {
+	if client.Greeting == nil {
+		return nil
+	}
+	greeting := client.Greeting(l.peer.Name)
+	if len(greeting.Slices) == 0 {
+		return nil
+	}
+	return l.stream.send(client.stamp(0, &wire.Frame{Body: &wire.Frame_Renew{Renew: renewalTo(greeting, client.Clock())}}))
+}
+
 // read hands replies to those who wait for them until the stream ends.
 func (client *Client) read(l *link) {
 	defer l.close()
@@ -333,12 +349,12 @@
 }
 
 // Ask asks a home for a grant. A queued ask waits until the ask's deadline; a home that falls silent meanwhile is noticed.
-func (client *Client) Ask(ctx context.Context, to entry.Peer, slice home.Slice, ask pool.Ask) (pool.Decision, []pool.Ejected, error) {
+func (client *Client) Ask(ctx context.Context, to entry.Peer, slice home.Slice, ask pool.Ask) (pool.Decision, pool.Standing, error) {
 	ctx, span := client.Tracer.Start(ctx, "ask")
 	defer span.End()
 	l, err := client.link(ctx, to)
 	if err != nil {
-		return pool.Decision{}, nil, err
+		return pool.Decision{}, pool.Standing{}, err
 	}
 	id, replies := l.begin()
 	defer l.end(id)
@@ -350,50 +366,50 @@
 		return l.stream.send(client.stamp(id, &wire.Frame{Body: &wire.Frame_Ask{Ask: message}}))
 	}
 	if err := send(); err != nil {
-		return pool.Decision{}, nil, client.failed("ask", KindDown, to, err)
+		return pool.Decision{}, pool.Standing{}, client.failed("ask", KindDown, to, err)
 	}
-	decision, ejected, err := client.awaitDecision(ctx, l, to, replies, send)
+	decision, standing, err := client.awaitDecision(ctx, l, to, replies, send)
 	if err != nil {
 		// The home may have granted or queued the ask: give it back.
 		unused := pool.Report{Attempt: ask.Attempt, Outcome: pool.Unused}
-		_ = l.stream.send(client.stamp(0, &wire.Frame{Body: &wire.Frame_Report{Report: reportTo(slice, unused)}}))
+		_ = l.stream.send(client.stamp(0, &wire.Frame{Body: &wire.Frame_Report{Report: reportTo(slice, unused, client.Clock())}}))
 	}
-	return decision, ejected, err
+	return decision, standing, err
 }
 
-func (client *Client) awaitDecision(ctx context.Context, l *link, to entry.Peer, replies <-chan *wire.Frame, send func() error) (pool.Decision, []pool.Ejected, error) {
+func (client *Client) awaitDecision(ctx context.Context, l *link, to entry.Peer, replies <-chan *wire.Frame, send func() error) (pool.Decision, pool.Standing, error) {
 	timer := time.NewTimer(client.Silence)
 	defer timer.Stop()
 	queued := false
 	for {
 		select {
 		case reply := <-replies:
-			decision, ejected := decisionFrom(reply.GetDecision(), client.Clock())
+			decision, standing := decisionFrom(reply.GetDecision(), client.Clock())
 			if decision.Verdict != pool.Queued {
-				return decision, ejected, nil
+				return decision, standing, nil
 			}
 			queued = true
 			timer.Reset(recheckQueued)
 		case <-timer.C:
 			if !queued {
-				return pool.Decision{}, nil, client.failed("ask", KindSilent, to, nil)
+				return pool.Decision{}, pool.Standing{}, client.failed("ask", KindSilent, to, nil)
 			}
 			queued = false
 			timer.Reset(client.Silence)
 			if err := send(); err != nil {
-				return pool.Decision{}, nil, client.failed("ask", KindDown, to, err)
+				return pool.Decision{}, pool.Standing{}, client.failed("ask", KindDown, to, err)
 			}
 		case <-l.stream.done:
-			return pool.Decision{}, nil, client.failed("ask", KindDown, to, nil)
+			return pool.Decision{}, pool.Standing{}, client.failed("ask", KindDown, to, nil)
 		case <-ctx.Done():
-			return pool.Decision{}, nil, &Error{Op: "ask", Kind: KindSilent, Peer: to.Name, Err: ctx.Err()}
+			return pool.Decision{}, pool.Standing{}, &Error{Op: "ask", Kind: KindSilent, Peer: to.Name, Err: ctx.Err()}
 		}
 	}
 }
 
 // Report tells a home what came of a grant.
 func (client *Client) Report(ctx context.Context, to entry.Peer, slice home.Slice, report pool.Report) error {
-	return client.tell(ctx, "report", to, &wire.Frame{Body: &wire.Frame_Report{Report: reportTo(slice, report)}})
+	return client.tell(ctx, "report", to, &wire.Frame{Body: &wire.Frame_Report{Report: reportTo(slice, report, client.Clock())}})
 }
 
 // Renew tells a home which grants are held.
--- a/adapters/peer/yamux/convert.go
+++ b/adapters/peer/yamux/convert.go
@@ -37,7 +37,7 @@
 		Attempt: ask.Attempt, Service: slice.Service, Slice: uint32(slice.Index), Team: ask.Team,
 		Idempotent: ask.Idempotent, Hedge: ask.Hedge, Number: uint32(ask.Number), Exclude: ask.Exclude,
 		WaitNanos: until(now, ask.Deadline), Fingerprint: ask.Fingerprint, Verify: ask.Verify, NoWait: ask.NoWait,
-		Priority: uint32(ask.Priority), Large: ask.Large, Last: ask.Last,
+		Priority: uint32(ask.Priority), Large: ask.Large, Last: ask.Last, Paused: ask.Paused,
 	}
 }
 
@@ -46,16 +46,16 @@
 		Attempt: message.GetAttempt(), Team: message.GetTeam(), Idempotent: message.GetIdempotent(),
 		Hedge: message.GetHedge(), Number: int(message.GetNumber()), Exclude: message.GetExclude(),
 		Deadline: after(now, message.GetWaitNanos()), Fingerprint: message.GetFingerprint(), Verify: message.GetVerify(), NoWait: message.GetNoWait(),
-		Priority: int(message.GetPriority()), Large: message.GetLarge(), Last: message.GetLast(),
+		Priority: int(message.GetPriority()), Large: message.GetLarge(), Last: message.GetLast(), Paused: message.GetPaused(),
 	}
 }
 
-func decisionTo(decision pool.Decision, ejected []pool.Ejected, now time.Time) *wire.Decision {
+func decisionTo(decision pool.Decision, standing pool.Standing, now time.Time) *wire.Decision {
 	message := &wire.Decision{
 		Attempt: decision.Attempt, Verdict: uint32(decision.Verdict), Server: decision.Server,
 		ServerDomain: decision.Domain, SuspectNanos: until(now, decision.SuspectAt),
 		RetryAfterNanos: until(now, decision.RetryAt), Fresh: decision.Fresh, Close: decision.Close,
-		Ejected: ejectedTo(ejected, now),
+		Ejected: ejectedTo(standing.Ejected, now), Leavers: leaversTo(standing.Leavers), StartedUnixNanos: unixNanos(decision.Started),
 	}
 	if decision.Address.IsValid() {
 		message.Address = decision.Address.String()
@@ -64,18 +64,35 @@
 }
 
 // decisionFrom reads a decision; one that names no usable address counts as a refusal.
-func decisionFrom(message *wire.Decision, now time.Time) (pool.Decision, []pool.Ejected) {
+func decisionFrom(message *wire.Decision, now time.Time) (pool.Decision, pool.Standing) {
 	decision := pool.Decision{
 		Attempt: message.GetAttempt(), Verdict: pool.Verdict(message.GetVerdict()), Server: message.GetServer(),
 		Domain: message.GetServerDomain(), SuspectAt: after(now, message.GetSuspectNanos()),
 		RetryAt: after(now, message.GetRetryAfterNanos()), Fresh: message.GetFresh(), Close: message.GetClose(),
+		Started: unixTime(message.GetStartedUnixNanos()),
 	}
 	address, err := netip.ParseAddrPort(message.GetAddress())
 	if err != nil && decision.Verdict == pool.Granted {
 		decision.Verdict = pool.NoServer
 	}
 	decision.Address = address
-	return decision, ejectedFrom(message.GetEjected(), now)
+	return decision, pool.Standing{Ejected: ejectedFrom(message.GetEjected(), now), Leavers: leaversFrom(message.GetLeavers())}
+}
+
+func leaversTo(leavers []pool.Leaver) []*wire.Leaver {
+	var out []*wire.Leaver
+	for _, leaver := range leavers {
+		out = append(out, &wire.Leaver{Server: leaver.Server, StartedUnixNanos: unixNanos(leaver.Started)})
+	}
+	return out
+}
+
+func leaversFrom(messages []*wire.Leaver) []pool.Leaver {
+	var out []pool.Leaver
+	for _, m := range messages {
+		out = append(out, pool.Leaver{Server: m.GetServer(), Started: unixTime(m.GetStartedUnixNanos())})
+	}
+	return out
 }
 
 func ejectedTo(ejected []pool.Ejected, now time.Time) []*wire.Ejected {
@@ -94,19 +111,21 @@
 	return out
 }
 
-func reportTo(slice home.Slice, report pool.Report) *wire.Report {
+func reportTo(slice home.Slice, report pool.Report, now time.Time) *wire.Report {
 	return &wire.Report{
 		Attempt: report.Attempt, Service: slice.Service, Slice: uint32(slice.Index), Server: report.Server,
 		Outcome: uint32(report.Outcome), FirstByteNanos: report.FirstByte.Nanoseconds(), Reused: report.Reused,
-		Leaving: report.Leaving, Overdue: report.Overdue, Fingerprint: report.Fingerprint,
+		Leaving: report.Leaving, Overdue: report.Overdue, Fingerprint: report.Fingerprint, Ongoing: report.Ongoing,
+		PausedNanos: until(now, report.PausedUntil),
 	}
 }
 
-func reportFrom(message *wire.Report) (home.Slice, pool.Report) {
+func reportFrom(message *wire.Report, now time.Time) (home.Slice, pool.Report) {
 	return sliceOf(message.GetService(), message.GetSlice()), pool.Report{
 		Attempt: message.GetAttempt(), Server: message.GetServer(), Outcome: pool.Outcome(message.GetOutcome()),
 		FirstByte: time.Duration(message.GetFirstByteNanos()), Reused: message.GetReused(),
-		Leaving: message.GetLeaving(), Overdue: message.GetOverdue(), Fingerprint: message.GetFingerprint(),
+		Leaving: message.GetLeaving(), Overdue: message.GetOverdue(), Fingerprint: message.GetFingerprint(), Ongoing: message.GetOngoing(),
+		PausedUntil: after(now, message.GetPausedNanos()),
 	}
 }
 
@@ -143,7 +162,7 @@
 			})
 		}
 		message.Views = append(message.Views, &wire.View{
-			Service: r.Slice.Service, Slice: uint32(r.Slice.Index), Ejected: ejectedTo(r.Ejected, now),
+			Service: r.Slice.Service, Slice: uint32(r.Slice.Index), Ejected: ejectedTo(r.Standing.Ejected, now), Leavers: leaversTo(r.Standing.Leavers),
 		})
 	}
 	return message
@@ -159,20 +178,17 @@
 	for _, v := range message.GetViews() {
 		slice := sliceOf(v.GetService(), v.GetSlice())
 		renewal.Slices = append(renewal.Slices, entry.SliceRenewal{
-			Slice: slice, Held: held[slice], Ejected: ejectedFrom(v.GetEjected(), now),
+			Slice: slice, Held: held[slice], Standing: pool.Standing{Ejected: ejectedFrom(v.GetEjected(), now), Leavers: leaversFrom(v.GetLeavers())},
 		})
 	}
 	return renewal
 }
 
 func claimTo(claim idempotency.Claim, now time.Time) *wire.Claim {
-	message := &wire.Claim{
-		Epoch: claim.Epoch, Key: claim.Key[:], Attempt: claim.Attempt, Digest: claim.Digest, RunNanos: until(now, claim.RunBy),
-	}
-	if !claim.Born.IsZero() {
-		message.BornUnixNanos = claim.Born.UnixNano()
+	return &wire.Claim{
+		Epoch: claim.Epoch, Key: claim.Key[:], BornUnixNanos: unixNanos(claim.Born), Attempt: claim.Attempt, Digest: claim.Digest,
+		RunNanos: until(now, claim.RunBy),
 	}
-	return message
 }
 
 func claimFrom(message *wire.Claim, now time.Time) idempotency.Claim {
@@ -182,6 +198,14 @@
 	}
 }
 
+// unixNanos returns a time on the wire, 0 for the zero time.
+func unixNanos(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixNano()
+}
+
 func unixTime(nanos int64) time.Time {
 	if nanos == 0 {
 		return time.Time{}
--- a/adapters/peer/yamux/server.go
+++ b/adapters/peer/yamux/server.go
@@ -21,7 +21,7 @@
 
 // Handler takes in the messages of other entry instances.
 type Handler interface {
-	HandleAsk(slice home.Slice, ask pool.Ask, reply func(pool.Decision, []pool.Ejected))
+	HandleAsk(slice home.Slice, ask pool.Ask, reply func(pool.Decision, pool.Standing))
 	HandleReport(slice home.Slice, report pool.Report)
 	HandleRenew(name, domain string, renewal entry.Renewal)
 	HandleClaim(claim idempotency.Claim) idempotency.Verdict
@@ -152,7 +152,7 @@
 	case *wire.Frame_Ask:
 		remote.ask(frame.GetId(), body.Ask, now)
 	case *wire.Frame_Report:
-		slice, report := reportFrom(body.Report)
+		slice, report := reportFrom(body.Report, now)
 		report.Entry, report.Domain = remote.peer.Name, remote.domain
 		handler.HandleReport(slice, report)
 	case *wire.Frame_Renew:
@@ -196,11 +196,11 @@
 	ask.Entry, ask.Domain = remote.peer.Name, remote.domain
 	ctx := propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{"traceparent": message.GetTraceParent()})
 	_, span := remote.server.Tracer.Start(ctx, "grant")
-	remote.server.Handler.HandleAsk(slice, ask, func(decision pool.Decision, ejected []pool.Ejected) {
+	remote.server.Handler.HandleAsk(slice, ask, func(decision pool.Decision, standing pool.Standing) {
 		if decision.Verdict != pool.Queued {
 			span.End()
 		}
-		reply := decisionTo(decision, ejected, remote.server.Clock())
+		reply := decisionTo(decision, standing, remote.server.Clock())
 		remote.reply(id, &wire.Frame{Body: &wire.Frame_Decision{Decision: reply}})
 	})
 }
--- a/adapters/peer/yamux/yamux_test.go
+++ b/adapters/peer/yamux/yamux_test.go
@@ -42,14 +42,14 @@
 
 var anyServer = netip.MustParseAddrPort("127.0.0.1:9")
 
-func (h *grantAll) HandleAsk(_ home.Slice, ask pool.Ask, reply func(pool.Decision, []pool.Ejected)) {
+func (h *grantAll) HandleAsk(_ home.Slice, ask pool.Ask, reply func(pool.Decision, pool.Standing)) {
 	if h.silent.Load() {
 		return
 	}
 	if ask.Team == "queued" {
-		reply(pool.Decision{Attempt: ask.Attempt, Verdict: pool.Queued}, nil)
+		reply(pool.Decision{Attempt: ask.Attempt, Verdict: pool.Queued}, pool.Standing{})
 	}
-	reply(pool.Decision{Attempt: ask.Attempt, Server: "balances-1", Domain: "domain-1", Address: anyServer, SuspectAt: time.Now().Add(time.Second)}, nil)
+	reply(pool.Decision{Attempt: ask.Attempt, Server: "balances-1", Domain: "domain-1", Address: anyServer, SuspectAt: time.Now().Add(time.Second)}, pool.Standing{})
 }
 func (h *grantAll) HandleReport(home.Slice, pool.Report)          { h.reports.Add(1) }
 func (h *grantAll) HandleRenew(string, string, entry.Renewal)     {}
@@ -234,12 +234,23 @@
 			Attempt: rapid.Uint64().Draw(t, "attempt"), Server: rapid.String().Draw(t, "server"),
 			Outcome:   pool.Outcome(rapid.IntRange(0, 9).Draw(t, "outcome")),
 			FirstByte: time.Duration(rapid.Int64Range(0, 1<<40).Draw(t, "first-byte")), Reused: rapid.Bool().Draw(t, "reused"),
-			Overdue: rapid.Bool().Draw(t, "overdue"), Leaving: rapid.Bool().Draw(t, "leaving"),
+			Overdue: rapid.Bool().Draw(t, "overdue"), Leaving: rapid.Bool().Draw(t, "leaving"), Ongoing: rapid.Bool().Draw(t, "ongoing"),
 		}
-		_, back := reportFrom(reportTo(home.Slice{}, report))
+		if rapid.Bool().Draw(t, "paused") {
+			report.PausedUntil = now.Add(time.Duration(rapid.Int64Range(1, 1<<40).Draw(t, "pause")))
+		}
+		_, back := reportFrom(reportTo(home.Slice{}, report, now), now)
 		if back != report {
 			t.Fatalf("%+v became %+v", report, back)
 		}
+		leavers := []pool.Leaver{{Server: rapid.String().Draw(t, "leaver"), Started: time.Unix(0, rapid.Int64Range(1, 1<<60).Draw(t, "started"))}, {Server: "unknown-start"}}
+		decision, standing := decisionFrom(decisionTo(pool.Decision{Verdict: pool.Paused}, pool.Standing{Leavers: leavers}, now), now)
+		must.Eq(t, pool.Paused, decision.Verdict)
+		must.Eq(t, leavers, standing.Leavers)
+		renewal := entry.Renewal{Slices: []entry.SliceRenewal{{Slice: home.Slice{Service: "s", Index: 2}, Standing: standing}}}
+		must.Eq(t, renewal, renewalFrom(renewalTo(renewal, now), now))
+		_, asked := askFrom(askTo(home.Slice{}, pool.Ask{Paused: []string{"a", "b"}}, now), now)
+		must.Eq(t, []string{"a", "b"}, asked.Paused)
 		record := idempotency.Record{
 			Key: idempotency.Key{1, rapid.Byte().Draw(t, "key")}, Attempt: rapid.Uint64().Draw(t, "attempt"),
 			State: idempotency.State(rapid.IntRange(0, 2).Draw(t, "state")), Status: rapid.IntRange(0, 599).Draw(t, "status"),
--- a/core/pool/choice.go
+++ b/core/pool/choice.go
@@ -28,7 +28,7 @@
 	bestRank, bestLimit := rankNone, 0
 	for _, s := range pool.servers {
 		limit := s.limit(now)
-		if s.inFlight >= limit || !s.open(now) {
+		if s.inFlight >= limit || !s.open(now) || s.pausedBy(ask) {
 			continue
 		}
 		r := pool.rankOf(now, ask, s)
--- a/core/pool/placement.go
+++ b/core/pool/placement.go
@@ -42,7 +42,7 @@
 	bestRank, bestCost := rankNone, math.Inf(1)
 	for _, s := range pool.servers {
 		limit := s.limit(now)
-		if s.inFlight >= limit || !s.open(now) {
+		if s.inFlight >= limit || !s.open(now) || s.pausedBy(ask) {
 			continue
 		}
 		r := pool.placedRank(ask, s)
@@ -75,7 +75,7 @@
 		if s.member.Domain != ask.Domain {
 			due = due.Add(touchFar)
 		}
-		if s.member.Leaving || ask.excludes(s) || now.Before(due) || s.member.Domain != ask.Domain && ask.Large || s.inFlight >= s.limit(now) || !s.open(now) {
+		if s.member.Leaving || ask.excludes(s) || s.pausedBy(ask) || now.Before(due) || s.member.Domain != ask.Domain && ask.Large || s.inFlight >= s.limit(now) || !s.open(now) {
 			continue
 		}
 		if oldest == nil || s.lastGrant.Before(oldest.lastGrant) {
@@ -102,7 +102,7 @@
 		return false
 	}
 	for _, s := range pool.servers {
-		if s.member.Leaving || s.inFlight < s.limit(now) || ask.excludes(s) {
+		if s.member.Leaving || s.inFlight < s.limit(now) || ask.excludes(s) || s.pausedBy(ask) {
 			continue
 		}
 		if s.fault.chance(now) < least/2 {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -39,6 +39,7 @@
 	Hedge       bool     // a second copy of an attempt that is still out
 	Number      int      // attempt number of the request, from 1
 	Exclude     []string // servers that this request has tried
+	Paused      []string // servers that want no request from the asking instance now
 	Verify      string   // suspect server to verify with a copy of an answered request, empty for a caller's request
 	NoWait      bool     // refused at once when no slot is free of a server that likely answers; other slices are asked too
 	Priority    int      // 0 is served first
@@ -73,11 +74,13 @@
 	NotReady
 	// NotNeeded means that the server to verify is not suspect, or enough verifications of it are out.
 	NotNeeded
+	// Paused means that every server in service wants no request from the asking instance now.
+	Paused
 )
 
 // verdictNames are the names in logs.
 var verdictNames = [...]string{
-	"granted", "queued", "full", "no-server", "over-budget", "quarantined", "limited", "not-ready", "not-needed",
+	"granted", "queued", "full", "no-server", "over-budget", "quarantined", "limited", "not-ready", "not-needed", "paused",
 }
 
 // String returns the verdict's name in logs.
@@ -93,7 +96,8 @@
 	Attempt   uint64
 	Verdict   Verdict
 	Server    string
-	Domain    string // the server's failure domain
+	Domain    string    // the server's failure domain
+	Started   time.Time // of the server's run, zero if not known
 	Address   netip.AddrPort
 	SuspectAt time.Time // no first byte by then makes the server suspect
 	Fresh     bool      // a new connection is required
@@ -179,6 +183,7 @@
 			s = &server{}
 			s.start(now, member, first)
 		}
+		s.listedLeaving = member.Leaving
 		member.Leaving = member.Leaving || s.member.Leaving
 		s.member = member
 		s.slots = pool.slotsOf(member)
@@ -227,6 +232,9 @@
 	if ask.Verify != "" {
 		return pool.verify(now, &ask)
 	}
+	if len(ask.Paused) > 0 && pool.allPaused(&ask) {
+		return Decision{Attempt: ask.Attempt, Verdict: Paused, RetryAt: now.Add(pausedRetryAfter)}
+	}
 	var s *server
 	var r rank
 	if ask.NoWait {
@@ -294,7 +302,7 @@
 	}
 	return Decision{
 		Attempt: attempt, Verdict: Granted,
-		Server: g.server.member.Name, Domain: g.server.member.Domain, Address: g.server.member.Address,
+		Server: g.server.member.Name, Domain: g.server.member.Domain, Address: g.server.member.Address, Started: g.server.member.Started,
 		SuspectAt: now.Add(silence), Fresh: now.Before(g.server.freshUntil),
 	}
 }
@@ -387,10 +395,3 @@
 	pool.serveWaiters(now)
 	return probes
 }
-
-// MarkLeaving ends grants of new work to a server, on the server's own word.
-func (pool *Pool) MarkLeaving(name string) {
-	if s := pool.server(name); s != nil {
-		s.member.Leaving = true
-	}
-}
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -63,6 +63,17 @@
 	queue.lines[i].asks = append(queue.lines[i].asks, ask)
 }
 
+// putBack returns an ask to the front of its line.
+func (queue *queue) putBack(ask Ask) {
+	i := queue.lineOf(ask.Team, ask.Priority)
+	if i < 0 {
+		queue.add(ask)
+		return
+	}
+	queue.attempts[ask.Attempt] = struct{}{}
+	queue.lines[i].asks = slices.Insert(queue.lines[i].asks, 0, ask)
+}
+
 // remove takes an ask out of a line, and drops the line with its last one.
 func (queue *queue) remove(i, j int) Ask {
 	l := &queue.lines[i]
@@ -184,18 +195,30 @@
 	return slices.ContainsFunc(pool.servers, func(s *server) bool { return s.phase == inService && !s.member.Leaving })
 }
 
-// serveWaiters grants queued asks while slots are free.
+// mostPassed bounds the queued asks that are passed over at a time for the pauses of their instances.
+const mostPassed = 64
+
+// serveWaiters grants queued asks while slots are free. An ask of an instance which the servers with free slots do not want is
+// passed over.
 func (pool *Pool) serveWaiters(now time.Time) {
-	for pool.queue.len() > 0 {
+	var passed []Ask
+	for pool.queue.len() > 0 && len(passed) < mostPassed {
 		i := pool.nextLine()
 		ask := pool.queue.lines[i].asks[0]
 		s, r := pool.choose(now, &ask)
-		if s == nil {
-			return
+		if s == nil && len(ask.Paused) == 0 {
+			break
 		}
 		pool.queue.remove(i, 0)
+		if s == nil {
+			passed = append(passed, ask)
+			continue
+		}
 		pool.ready = append(pool.ready, pool.grant(now, &ask, s, r))
 	}
+	for _, ask := range slices.Backward(passed) {
+		pool.queue.putBack(ask)
+	}
 }
 
 // nextLine returns, of the lines of the most urgent priority, that of the team with the fewest requests in flight.
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -74,6 +74,8 @@
 	Reused      bool          // the connection had carried a request before
 	Overdue     bool          // interim report: no first byte by SuspectAt, the attempt goes on
 	Leaving     bool          // the server said that it is leaving
+	Ongoing     bool          // interim report: what the server said counts, the attempt goes on
+	PausedUntil time.Time     // the server wants no request from the entry instance until then; zero if it did not say so
 	Fingerprint uint64
 }
 
@@ -101,6 +103,10 @@
 	pool.init(now)
 	s := pool.server(report.Server)
 	g, held := pool.grants[report.Attempt]
+	if held && s != nil && g.server != s {
+		// The report is of an earlier run of the server.
+		s = nil
+	}
 	added := 0.0
 	if s != nil {
 		added = pool.judge(now, s, report, g)
@@ -108,11 +114,11 @@
 			pool.noteChance(now, s, report)
 		}
 	}
-	if s != nil && report.Reused && !report.Overdue {
+	if s != nil && report.Reused && !report.Overdue && !report.Ongoing {
 		s.connections.reused(now)
 	}
 	switch {
-	case !held:
+	case !held || report.Ongoing:
 	case report.Overdue:
 		g.overdue, g.added = added > 0, added
 		pool.grants[report.Attempt] = g
@@ -130,6 +136,9 @@
 		s.member.Leaving = true
 		pool.note(now, ChangeLeaving, s, report)
 	}
+	if report.Ongoing {
+		return 0
+	}
 	pool.noteFingerprint(now, s, report)
 	switch {
 	case report.Overdue && s.cold(now) && !g.patient:
@@ -140,6 +149,8 @@
 		return pool.failed(now, s, report, 1, g)
 	case report.Outcome == Answered:
 		pool.answered(now, s, report, g)
+	case report.Outcome == Shed && now.Before(report.PausedUntil):
+		s.turnedAway(now, report.Entry, report.PausedUntil)
 	case report.Outcome == Shed && pool.policy.Placement == rules.Proven && s.inFlight <= int(busyShare*float64(s.slots)):
 		// A server with free slots that refuses work fails, whatever it says.
 		s.fault.fail(now, 1, baselineWithout(now, &pool.baseline, &s.events))
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -48,11 +48,13 @@
 	sheds         int       // refusals in a row
 	restUntil     time.Time // no work before
 	lastGrant     time.Time
-	coldUntil     time.Time // slowness is no failure before
-	inTime        int       // answers in time in a row while cold
-	doubtedAt     time.Time // latest slowness while cold
-	down          bool      // refused a connection or failed a probe since it last answered
-	freshUntil    time.Time // new connections only until then
+	coldUntil     time.Time            // slowness is no failure before
+	inTime        int                  // answers in time in a row while cold
+	doubtedAt     time.Time            // latest slowness while cold
+	down          bool                 // refused a connection or failed a probe since it last answered
+	freshUntil    time.Time            // new connections only until then
+	listedLeaving bool                 // by the list, not only by its own word
+	pauses        map[string]time.Time // ends of the pauses that it wants of entry instances
 	connections   connections
 	evidence      evidence
 	fault         fault
--- a/core/pool/verification.go
+++ b/core/pool/verification.go
@@ -40,7 +40,7 @@
 // wantsVerification reports whether a server in service is suspect by itself and has room for a verification: a slot that
 // slow start keeps from callers will do.
 func (pool *Pool) wantsVerification(now time.Time, ask *Ask, s *server) bool {
-	if s.phase != inService || !s.open(now) || s.inFlight >= s.slots {
+	if s.phase != inService || !s.open(now) || s.inFlight >= s.slots || s.pausedBy(ask) {
 		return false
 	}
 	if !pool.doubtful(now, s) || pool.othersSuspect(now, s) {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -38,6 +38,7 @@
 	ReasonBadRequest  Reason = "bad-request"
 	ReasonFull        Reason = "no-free-slot"
 	ReasonNoServer    Reason = "no-backend-server"
+	ReasonPaused      Reason = "backend-servers-turn-instance-away"
 	ReasonBudget      Reason = "retry-budget-spent"
 	ReasonQuarantine  Reason = "request-quarantined"
 	ReasonLimit       Reason = "limit-reached"
@@ -155,6 +156,8 @@
 		return ReasonQuarantine
 	case pool.Limited:
 		return ReasonLimit
+	case pool.Paused:
+		return ReasonPaused
 	}
 	return ReasonFull
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -198,7 +198,7 @@
 	daemon.client = &yamux.Client{
 		Name: s.Name, Incarnation: incarnation, Domain: s.Domain, Silence: time.Duration(s.Intervals.PeerSilence),
 		Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now, Dial: daemon.Dial,
-		Versions: daemon.entry.Versions, OnVersions: daemon.entry.HandleVersions,
+		Versions: daemon.entry.Versions, OnVersions: daemon.entry.HandleVersions, Greeting: daemon.entry.Greeting,
 	}
 	daemon.entry.Peers = daemon.client
 	daemon.entry.Init()
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -14,8 +14,9 @@
 	Terms(now time.Time, request *http.Request) (Terms, error)
 	// Prepare turns the caller's header into that of an attempt.
 	Prepare(header http.Header, attempt Attempt)
-	// Reply returns what a backend server says of an attempt beside its status.
-	Reply(terms Terms, response *http.Response) Reply
+	// Reply returns what a backend server says of an attempt, and of itself, beside its status. With an error some of it makes
+	// no sense and is left out.
+	Reply(now time.Time, terms Terms, response *http.Response) (Reply, error)
 	// Answer completes the header of an answer that sequoiaspan makes itself, and returns its status.
 	Answer(now time.Time, header http.Header, answer retry.Answer) int
 	// Healthy reports whether the answer to a health check comes from the named server; an empty name stands for any.
@@ -46,4 +47,6 @@
 	Leaving bool // it takes no new work
 	Moved   bool // another server has its address now
 	Foreign bool // the answer belongs to another request
+	// PausedUntil is until when the server wants no request from this instance, zero if it did not say so.
+	PausedUntil time.Time
 }
--- a/dialect/native.go
+++ b/dialect/native.go
@@ -1,6 +1,7 @@
 package dialect
 
 import (
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -30,6 +31,7 @@
 	retry.ReasonNoRules:     http.StatusServiceUnavailable,
 	retry.ReasonFull:        http.StatusServiceUnavailable,
 	retry.ReasonNoServer:    http.StatusServiceUnavailable,
+	retry.ReasonPaused:      http.StatusServiceUnavailable,
 	retry.ReasonBudget:      http.StatusServiceUnavailable,
 	retry.ReasonQuarantine:  http.StatusServiceUnavailable,
 	retry.ReasonStopping:    http.StatusServiceUnavailable,
@@ -77,12 +79,15 @@
 	header.Set(DeadlineHeader, attempt.Deadline.UTC().Format(time.RFC3339Nano))
 }
 
-// Reply reads the outcome and the state that the server gives.
-func (Native) Reply(_ Terms, response *http.Response) Reply {
-	return Reply{
+// Reply reads the outcome and the state that the server gives, and Retry-After with a refusal for load.
+func (Native) Reply(now time.Time, _ Terms, response *http.Response) (Reply, error) {
+	reply := Reply{
 		Refused: response.StatusCode >= http.StatusBadRequest && response.Header.Get(OutcomeHeader) == string(retry.NotRun),
-		Leaving: response.Header.Get(StateHeader) == StateLeaving,
 	}
+	var stateErr, pauseErr error
+	reply.Leaving, stateErr = Flag(response.Header, StateHeader, StateLeaving)
+	reply.PausedUntil, pauseErr = PausedUntil(now, response)
+	return reply, errors.Join(stateErr, pauseErr)
 }
 
 // Answer gives the outcome, its reason and when to come back in whole seconds.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -31,7 +32,7 @@
 // Peers carries messages to other entry instances. Errors mean that no answer came in time.
 type Peers interface {
 	// Ask waits for the final decision; it fails soon when the peer is silent.
-	Ask(ctx context.Context, to Peer, slice home.Slice, ask pool.Ask) (pool.Decision, []pool.Ejected, error)
+	Ask(ctx context.Context, to Peer, slice home.Slice, ask pool.Ask) (pool.Decision, pool.Standing, error)
 	Report(ctx context.Context, to Peer, slice home.Slice, report pool.Report) error
 	Renew(ctx context.Context, to Peer, renewal Renewal) error
 	Claim(ctx context.Context, to Peer, claim idempotency.Claim) (idempotency.Verdict, error)
@@ -64,19 +65,19 @@
 
 // Prober sends health checks to backend servers.
 type Prober interface {
-	Probe(ctx context.Context, probe pool.Probe, path string) (healthy, leaving bool)
+	Probe(ctx context.Context, probe pool.Probe, path string) (healthy bool, said Notice)
 }
 
-// Renewal lists the grants that an entry instance holds from a home, and its view of ejections.
+// Renewal lists the grants that an entry instance holds from a home, and what it knows of the backend servers.
 type Renewal struct {
 	Slices []SliceRenewal
 }
 
 // SliceRenewal is the part of a Renewal for one slice.
 type SliceRenewal struct {
-	Slice   home.Slice
-	Held    []pool.Held
-	Ejected []pool.Ejected
+	Slice    home.Slice
+	Held     []pool.Held
+	Standing pool.Standing
 }
 
 // Retries bound further attempts at a service, over all instances. Zero values take the pool's defaults.
@@ -149,12 +150,14 @@
 	rules    rulesHolder
 	members  members
 	lists    lists
+	notices  notices
 	limits   limits
 	leaving  atomic.Bool
 	stopping atomic.Bool
 	left     context.Context // ends when the instance leaves
 	leave    context.CancelFunc
 	lookups  atomic.Uint64
+	attempts atomic.Uint64 // latest number of an ask that this instance makes by itself
 	initOnce sync.Once
 
 	verifications chan func(context.Context) // waiting for a worker
@@ -187,9 +190,11 @@
 	}
 	entry.members.retries = entry.Retries
 	entry.keys.keeper.Self = entry.Incarnation
+	// The upper half tells instances and their runs apart, the lower half counts.
+	entry.attempts.Store(rand.Uint64() << 32)
 	log := &changeLog{name: entry.Name, log: entry.Log}
-	entry.homes.init(false, log)
-	entry.alone.init(true, log)
+	entry.homes.init(false, entry.leavers, log)
+	entry.alone.init(true, entry.leavers, log)
 	entry.registerGauges()
 	entry.members.init()
 	entry.lists.init()
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -41,33 +41,72 @@
 	}
 	eager := ask
 	eager.NoWait = true
-	for i := range min(slices, mostSlicesAsked) {
-		at := home.Slice{Service: slice.Service, Index: (slice.Index + i) % slices}
-		grant, decision := entry.Acquire(ctx, at, eager)
-		if grant != nil || decision.Verdict != pool.Full && decision.Verdict != pool.Limited {
+	asked := min(slices, mostSlicesAsked)
+	for i := range asked {
+		grant, decision := entry.Acquire(ctx, neighbour(slice, i, slices), eager)
+		if grant != nil || !mayFitElsewhere(decision.Verdict) {
 			return grant, decision
 		}
 	}
-	return entry.Acquire(ctx, slice, ask)
+	for i := range asked {
+		grant, decision := entry.Acquire(ctx, neighbour(slice, i, slices), ask)
+		if grant != nil || decision.Verdict != pool.Paused || i == asked-1 {
+			return grant, decision
+		}
+	}
+	return nil, pool.Decision{Verdict: pool.Full, RetryAt: entry.Clock()}
+}
+
+// neighbour returns the slice so many places on.
+func neighbour(slice home.Slice, on, slices int) home.Slice {
+	return home.Slice{Service: slice.Service, Index: (slice.Index + on) % slices}
+}
+
+// mayFitElsewhere reports whether an ask that was refused in a slice may fit into another one.
+func mayFitElsewhere(verdict pool.Verdict) bool {
+	return verdict == pool.Full || verdict == pool.Limited || verdict == pool.Paused
 }
 
 // Acquire asks the slice's home for a grant, then its deputy, then decides alone. The grant is nil when the decision is a refusal.
 func (entry *Entry) Acquire(ctx context.Context, slice home.Slice, ask pool.Ask) (*Grant, pool.Decision) {
-	for {
+	for range mostGivenBack {
+		var free time.Time
+		ask.Paused, free = entry.notices.paused(entry.Clock(), slice.Service)
 		grant, decision := entry.acquire(ctx, slice, ask)
-		if grant == nil || len(ask.Exclude) > mostExcluded || !entry.knownLeaving(slice.Service, grant.Server) {
+		if grant == nil {
+			return nil, sooner(decision, free)
+		}
+		unwanted, leaving := grant.unwanted()
+		switch {
+		case unwanted:
+			entry.count("entry.leaving-servers-granted")
+			grant.Done(pool.Report{Outcome: pool.Unused, Leaving: leaving})
+			ask.Exclude = append(slices.Clone(ask.Exclude), grant.Server)
+		case entry.notices.isPaused(entry.Clock(), slice.Service, grant.Server):
+			// The server turned this instance away while the ask was on its way.
+			entry.count("entry.paused-servers-granted")
+			grant.Done(pool.Report{Outcome: pool.Unused})
+		default:
 			return grant, decision
 		}
-		// The home is behind with the list.
-		entry.count("entry.leaving-servers-granted")
-		grant.Done(pool.Report{Outcome: pool.Unused, Leaving: true})
-		ask.Exclude = append(slices.Clone(ask.Exclude), grant.Server)
-		ask.Attempt++
+		ask.Attempt = entry.attempts.Add(1)
 	}
+	return nil, pool.Decision{Attempt: ask.Attempt, Verdict: pool.Full, RetryAt: entry.Clock().Add(givenBackRetry)}
 }
 
-// mostExcluded bounds the servers that one ask excludes.
-const mostExcluded = 8
+// sooner brings the time at which a paused ask may come back forward to the end of the first pause.
+func sooner(decision pool.Decision, free time.Time) pool.Decision {
+	if decision.Verdict == pool.Paused && free.Before(decision.RetryAt) {
+		decision.RetryAt = free
+	}
+	return decision
+}
+
+// Bounds of grants that are given back unused.
+const (
+	mostGivenBack  = 8                      // for one ask
+	givenBackRetry = 200 * time.Millisecond // for the caller after them; the home knows better by then
+)
 
 func (entry *Entry) acquire(ctx context.Context, slice home.Slice, ask pool.Ask) (*Grant, pool.Decision) {
 	ask.Entry, ask.Domain = entry.Name, entry.Domain
@@ -110,13 +149,14 @@
 func (entry *Entry) askPeer(ctx context.Context, to Peer, slice home.Slice, ask pool.Ask) (pool.Decision, error) {
 	if entry.held.isNewHome(slice, to.Name) {
 		// A lost renewal is made good by the next periodic one.
-		_ = entry.Peers.Renew(ctx, to, Renewal{Slices: []SliceRenewal{entry.held.renewal(slice)}})
+		_ = entry.Peers.Renew(ctx, to, Renewal{Slices: []SliceRenewal{entry.renewal(slice)}})
 	}
-	decision, ejected, err := entry.Peers.Ask(ctx, to, slice, ask)
+	decision, standing, err := entry.Peers.Ask(ctx, to, slice, ask)
 	if err != nil {
 		return pool.Decision{}, err
 	}
-	entry.held.setEjected(slice, ejected)
+	entry.held.setEjected(slice, standing.Ejected)
+	entry.told(slice.Service, standing.Leavers)
 	return decision, nil
 }
 
@@ -275,10 +315,17 @@
 }
 
 // renewal returns what to tell a slice's home.
+func (entry *Entry) renewal(slice home.Slice) SliceRenewal {
+	renewal := entry.held.renewal(slice)
+	renewal.Standing.Leavers = entry.leavers(slice)
+	return renewal
+}
+
+// renewal returns the grants held from a slice's home, and the ejections known there.
 func (held *held) renewal(slice home.Slice) SliceRenewal {
 	held.mu.Lock()
 	defer held.mu.Unlock()
-	out := SliceRenewal{Slice: slice, Ejected: held.ejected[slice]}
+	out := SliceRenewal{Slice: slice, Standing: pool.Standing{Ejected: held.ejected[slice]}}
 	for attempt, grant := range held.grants {
 		if grant.Slice == slice {
 			out.Held = append(out.Held, pool.Held{Attempt: attempt, Server: grant.Server, Team: grant.ask.Team})
@@ -317,7 +364,7 @@
 func (entry *Entry) renewAll(ctx context.Context) {
 	byHome := map[Peer]*Renewal{}
 	for _, slice := range entry.held.slices(entry.Clock()) {
-		renewal := entry.held.renewal(slice)
+		renewal := entry.renewal(slice)
 		entry.renewHere(slice, renewal)
 		deciders := entry.deciders(slice)
 		if len(deciders) == 0 || deciders[0].Name == entry.Name {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -9,29 +9,28 @@
 )
 
 // HandleAsk decides another instance's ask. Reply is called once, or twice when the first decision is Queued.
-func (entry *Entry) HandleAsk(slice home.Slice, ask pool.Ask, reply func(pool.Decision, []pool.Ejected)) {
+func (entry *Entry) HandleAsk(slice home.Slice, ask pool.Ask, reply func(pool.Decision, pool.Standing)) {
 	entry.count("home.asks")
 	now := entry.Clock()
 	if len(entry.members.plan().servers[slice.Service]) == 0 {
-		reply(pool.Decision{Attempt: ask.Attempt, Verdict: pool.NotReady, RetryAt: now}, nil)
+		reply(pool.Decision{Attempt: ask.Attempt, Verdict: pool.NotReady, RetryAt: now}, pool.Standing{})
 		return
 	}
 	entry.homes.ask(now, &entry.members, slice, ask, func(decision pool.Decision) {
-		reply(decision, entry.ejectedIn(slice))
+		reply(decision, entry.standing(slice))
 	})
 }
 
-// ejectedIn returns the ejections that this instance decided for a slice.
-func (entry *Entry) ejectedIn(slice home.Slice) []pool.Ejected {
+// standing returns what this instance as their home knows of a slice's servers.
+func (entry *Entry) standing(slice home.Slice) pool.Standing {
 	shard := entry.homes.shard(slice)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	sp := shard.pools[slice]
 	if sp == nil {
-		return nil
+		return pool.Standing{}
 	}
-	ejected := sp.pool.Ejections()
-	return ejected
+	return sp.pool.Standing()
 }
 
 // HandleReport takes in another instance's report.
@@ -46,16 +45,18 @@
 	})
 }
 
-// HandleRenew takes in an instance's grants and its view of ejections, in the slices that are decided here.
+// HandleRenew takes in an instance's grants and what it knows of the servers, in the slices that are decided here.
 func (entry *Entry) HandleRenew(name, domain string, renewal Renewal) {
 	now := entry.Clock()
 	for _, r := range renewal.Slices {
+		entry.told(r.Slice.Service, r.Standing.Leavers)
 		local := name == entry.Name
 		if local && !entry.homes.has(r.Slice) {
 			continue
 		}
 		entry.homes.with(now, &entry.members, r.Slice, func(sp *slicePool) {
-			sp.pool.Restore(now, r.Ejected)
+			sp.pool.Restore(now, r.Standing.Ejected)
+			sp.pool.RestoreLeaving(r.Standing.Leavers)
 			sp.pool.Renew(now, name, domain, r.Held)
 			sp.pool.Reconcile(now, name, r.Held)
 		})
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/notice"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
 )
@@ -19,9 +20,10 @@
 
 // homes holds pools in shards, each under its own lock.
 type homes struct {
-	alone  bool // one slot for each server, without the other instances' word
-	log    *changeLog
-	shards [homeShards]homeShard
+	alone   bool                           // one slot for each server, without the other instances' word
+	leavers func(home.Slice) []pool.Leaver // servers that are leaving by their own word
+	log     *changeLog
+	shards  [homeShards]homeShard
 }
 
 type homeShard struct {
@@ -37,8 +39,8 @@
 	home    string                         // of the slice by that version
 }
 
-func (homes *homes) init(alone bool, log *changeLog) {
-	homes.alone, homes.log = alone, log
+func (homes *homes) init(alone bool, leavers func(home.Slice) []pool.Leaver, log *changeLog) {
+	homes.alone, homes.leavers, homes.log = alone, leavers, log
 	for i := range homes.shards {
 		homes.shards[i].pools = map[home.Slice]*slicePool{}
 	}
@@ -86,6 +88,7 @@
 	}
 	sp.pool.SetPolicy(policy)
 	sp.pool.SetServers(now, servers)
+	sp.pool.RestoreLeaving(homes.leavers(slice))
 }
 
 type delivery struct {
@@ -171,10 +174,12 @@
 	if set, _ := entry.Rules(); set.Service(slice.Service) != nil {
 		path = set.Service(slice.Service).Health
 	}
-	healthy, leaving := entry.Prober.Probe(ctx, probe, path)
+	healthy, said := entry.Prober.Probe(ctx, probe, path)
+	listed, _ := entry.members.plan().server(probe.Server)
+	entry.hear(notice.Server{Name: probe.Server, Service: slice.Service, Started: listed.Started}, said)
 	now := entry.Clock()
 	homes.with(now, &entry.members, slice, func(sp *slicePool) {
-		if leaving {
+		if said.Leaving {
 			sp.pool.MarkLeaving(probe.Server)
 		}
 		sp.pool.Probed(now, probe.Server, healthy)
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -329,20 +329,3 @@
 	lists.Age = entry.ListAge(entry.Clock())
 	return lists
 }
-
-// knownLeaving reports whether this instance knows that a backend server leaves or is gone, perhaps before the home does.
-func (entry *Entry) knownLeaving(service, server string) bool {
-	if entry.Feed == nil {
-		return false
-	}
-	for _, s := range entry.members.plan().servers[service] {
-		if s.Name == server {
-			return s.State == instance.Leaving
-		}
-	}
-	if !entry.lists.removed(server) {
-		return false
-	}
-	entry.Log.Debug("grant: the home granted a backend server that is gone", zap.String("backend-server", server))
-	return true
-}
--- a/entry/lists_test.go
+++ b/entry/lists_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
@@ -152,7 +153,8 @@
 			time.Sleep(2 * time.Second)
 			for name, e := range peers.all {
 				if !feeds[name].isCut() {
-					must.True(t, e.knownLeaving("payouts", "payouts-1"), must.Sprint(name, before))
+					unwanted, _ := (&Grant{entry: e, Decision: pool.Decision{Server: "payouts-1"}}).unwanted()
+					must.True(t, unwanted, must.Sprint(name, before))
 				}
 			}
 		})
--- a/entry/members.go
+++ b/entry/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +84,15 @@
 	return old, next
 }
 
+// server returns a listed backend server.
+func (plan *plan) server(name string) (instance.Server, bool) {
+	i, found := slices.BinarySearchFunc(plan.listed, name, func(s instance.Server, name string) int { return strings.Compare(s.Name, name) })
+	if !found {
+		return instance.Server{}, false
+	}
+	return plan.listed[i], true
+}
+
 // slices returns how many slices a service has.
 func (plan *plan) slices(service string) int {
 	return home.Slices(len(plan.servers[service]))
@@ -165,6 +176,7 @@
 	}
 	if changed {
 		old, next := entry.members.rebuild(now, nil)
+		entry.notices.follow(now, next)
 		entry.Log.Info("instances: the list changed",
 			zap.Int("entries", len(list.Entries)), zap.Int("backend-servers", len(list.Servers)), entry.LoggedListAge(now),
 			zap.Dict("instances", differenceFields(instance.EntryDifference(old.entries, next.entries))...),
@@ -209,4 +221,5 @@
 	if cleared {
 		entry.members.rebuild(entry.Clock(), nil)
 	}
+	entry.greet(name)
 }
