--- a/testing/soak/callers_test.go
+++ b/testing/soak/callers_test.go
@@ -151,6 +151,9 @@
 			wrong = fmt.Sprintf("a success with %d bytes in place of %d, beginning with %q", len(content), len(want), strings.TrimSpace(string(content[:min(40, len(content))])))
 		}
 	}
+	if platform.SaysLeaving(response) {
+		c.world.ledger.departs(s)
+	}
 	c.world.ledger.end(s, response.StatusCode, err == nil, wrong)
 	if response.StatusCode == http.StatusServiceUnavailable {
 		time.Sleep(100 * time.Millisecond)
--- a/testing/soak/ledger_test.go
+++ b/testing/soak/ledger_test.go
@@ -16,6 +16,8 @@
 	goneMost     = 500 * time.Millisecond // after the caller has left, for the end of the work
 	recoverMost  = 15 * time.Second
 	graceTime    = 6 * time.Second
+	pauseSlack   = 500 * time.Millisecond // in which requests may still be on their way to a server that turns an instance away
+	pausedMost   = 2                      // requests that may reach it after that
 	// someOverdue and someGone are counts from which a share is judged.
 	someOverdue = 8
 	someGone    = 8
@@ -43,6 +45,15 @@
 	ended           time.Time // zero while it runs
 }
 
+// pair is an instance and a backend server.
+type pair struct{ instance, server string }
+
+// pauseSpan is a time in which a server wants no request from an instance.
+type pauseSpan struct {
+	from, until time.Time
+	arrived     int // requests later than the slack
+}
+
 // span is a time in which something is disturbed.
 type span struct {
 	what     string
@@ -55,6 +66,8 @@
 	requests map[string]*sent
 	spans    []span
 	draining map[string]time.Time // servers that leave, since when
+	departed map[pair]time.Time   // when an instance passed on that a server leaves
+	pauses   map[pair]*pauseSpan
 	allowed  map[string]map[string]bool
 	broken   []string
 	answered int
@@ -62,7 +75,8 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{requests: map[string]*sent{}, draining: map[string]time.Time{}, allowed: map[string]map[string]bool{}}
+	return &ledger{requests: map[string]*sent{}, draining: map[string]time.Time{}, allowed: map[string]map[string]bool{},
+		departed: map[pair]time.Time{}, pauses: map[pair]*pauseSpan{}}
 }
 
 // fail notes a broken promise; the lock is held.
@@ -127,6 +141,45 @@
 	l.requests[s.id] = s
 }
 
+// excused reports whether an instance may have forgotten what it knew at a time; the lock is held.
+func (l *ledger) excused(instance string, since time.Time) bool {
+	return l.disturbed(since.Add(-clockSlack), time.Now(), "all", "process "+instance, "stop "+instance)
+}
+
+// arrive notes that a request has reached a server, before it is known whether it runs, and reports whether it is turned away.
+func (l *ledger) arrive(id, server string, turnsAway bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, now := l.requests[id], time.Now()
+	if s == nil {
+		return false
+	}
+	at := pair{s.instance, server}
+	p := l.pauses[at]
+	if p != nil && now.After(p.from.Add(pauseSlack+clockSlack)) && now.Before(p.until) && !l.excused(s.instance, p.from) {
+		if p.arrived++; p.arrived > pausedMost {
+			l.fail("pause", "%d requests by %s, the last one %s, reach %s within its pause", p.arrived, s.instance, id, server)
+		}
+	}
+	if turnsAway {
+		l.pauses[at] = &pauseSpan{from: now, until: now.Add(pauseTime)}
+	}
+	return turnsAway
+}
+
+// departs notes that a caller has got an answer by which a server leaves.
+func (l *ledger) departs(s *sent) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(s.runs) == 0 {
+		return
+	}
+	at := pair{s.instance, s.runs[len(s.runs)-1].server}
+	if l.departed[at].IsZero() {
+		l.departed[at] = time.Now()
+	}
+}
+
 // begin notes that a server begins to run a request, and returns how to note its end.
 func (l *ledger) begin(id, method, path, server, service string) func() {
 	l.mu.Lock()
@@ -153,6 +206,9 @@
 	if since, leaving := l.draining[server]; leaving && now.Sub(since) > drainMost+clockSlack && s.at.After(since.Add(drainMost)) && l.inTouch(s.instance, since, now) {
 		l.fail("drain", "request %s by %s runs at %s, which has been leaving for %s", id, s.instance, server, now.Sub(since))
 	}
+	if since, departs := l.departed[pair{s.instance, server}]; departs && s.at.After(since.Add(drainMost+clockSlack)) && !l.excused(s.instance, since) {
+		l.fail("depart", "request %s by %s runs at %s, which has told it to be leaving %s before", id, s.instance, server, now.Sub(since))
+	}
 	i := len(s.runs) - 1
 	return func() {
 		l.mu.Lock()
--- a/testing/soak/plan_test.go
+++ b/testing/soak/plan_test.go
@@ -17,6 +17,7 @@
 	mostLength  = 3 * time.Second
 	lastingOdds = 0.1             // chance that a step lasts so much longer
 	longer      = 4 * time.Second // than a lease
+	mostNotices = 3               // steps of noticeActions
 )
 
 // action is a kind of step.
@@ -41,6 +42,8 @@
 	drain      action = "drain"       // a backend server leaves, another one comes
 	reuse      action = "reuse"       // another service gets the address of a backend server that ends
 	configure  action = "configure"   // the operators write a configuration
+	depart     action = "depart"      // a backend server says with its answers that it leaves, and the list does not
+	turnAway   action = "turn-away"   // a backend server refuses some requests and asks their instances to stay away
 )
 
 // actions are drawn from with equal chances; frequent ones stand twice.
@@ -49,6 +52,9 @@
 	serverPath, grey, loseAnswer, sluggish, crash, drain, drain, reuse, configure, configure, configure,
 }
 
+// noticeActions are drawn beside the others, so that the plans of kept seeds stay what they were but for these.
+var noticeActions = []action{depart, turnAway}
+
 // step is one fault or change of a plan.
 type step struct {
 	at     time.Duration // from the start of the traffic
@@ -84,6 +90,13 @@
 			plan = append(plan, s)
 		}
 	}
+	notices := rand.New(rand.NewPCG(seed, 0x50a5))
+	for range notices.IntN(mostNotices + 1) {
+		plan = append(plan, step{
+			at: time.Duration(notices.Int64N(int64(faultTime))), action: noticeActions[notices.IntN(len(noticeActions))],
+			target: notices.IntN(1000), way: notices.IntN(1000), length: time.Second + time.Duration(notices.Int64N(int64(mostLength))),
+		})
+	}
 	slices.SortFunc(plan, func(a, b step) int { return int(a.at - b.at) })
 	return plan
 }
--- a/testing/soak/steps_test.go
+++ b/testing/soak/steps_test.go
@@ -52,8 +52,10 @@
 			w.upset(server, s.action, s.length)
 		case crash:
 			w.trouble(server.path, resetting, s.length, "server "+server.ID)
-		case drain, reuse:
+		case drain, reuse, depart:
 			w.replace(server, s.action)
+		case turnAway:
+			w.upset(server, turnAway, s.length)
 		case configure:
 			w.configure()
 		}
@@ -215,8 +217,12 @@
 		return
 	}
 	w.addServer(s.Service, netip.AddrPort{})
-	w.store.Put("servers/"+s.ID, s.Record("draining"))
-	w.ledger.drains(s.ID)
+	if how == depart {
+		s.setMood(depart)
+	} else {
+		w.store.Put("servers/"+s.ID, s.Record("draining"))
+		w.ledger.drains(s.ID)
+	}
 	time.Sleep(drainMost + time.Second)
 	w.store.Remove("servers/" + s.ID)
 	time.Sleep(time.Second)
--- a/testing/soak/world_test.go
+++ b/testing/soak/world_test.go
@@ -27,7 +27,8 @@
 	longTime     = 2500 * time.Millisecond // beyond many deadlines
 	largeBody    = 200 << 10
 	restartAfter = 100 * time.Millisecond
-	catchesAfter = 100 * time.Millisecond // after its start a process catches signals; 10 ms on an idle machine
+	pauseTime    = 1500 * time.Millisecond // for which a backend server turns an instance away
+	catchesAfter = 100 * time.Millisecond  // after its start a process catches signals; 10 ms on an idle machine
 )
 
 // route is a route of a configuration, with when it was first written.
@@ -57,7 +58,7 @@
 	path *proxy
 
 	mu   sync.Mutex
-	mood action // grey, loseAnswer or sluggish, empty for none
+	mood action // grey, loseAnswer, sluggish, depart or turnAway, empty for none
 }
 
 // world is a fleet with all around it.
@@ -151,6 +152,10 @@
 	mood := s.mood
 	s.mu.Unlock()
 	id := platform.RequestID(r)
+	if w.ledger.arrive(id, s.ID, mood == turnAway && len(id)%3 == 0) {
+		s.TurnAway(writer, r, pauseTime)
+		return true
+	}
 	over := w.ledger.begin(id, r.Method, r.URL.Path, s.ID, s.Service)
 	defer over()
 	length := workTime
@@ -171,6 +176,10 @@
 	case <-r.Context().Done():
 		return true
 	}
+	if mood == depart {
+		s.Depart(writer, r, bodyOf(r.Method, r.URL.Path))
+		return true
+	}
 	s.Answer(writer, r, http.StatusOK, bodyOf(r.Method, r.URL.Path))
 	return true
 }
