Reach servers through cut paths for the floor, and let failing servers of large services rest

Now a grant that turns out to have reached nobody does not count, the pair of instance and server is avoided while others reach the server, and failed connections then weigh little.

Servers that likely still fail may therefore rest. How many of the sound ones may be unused by expectation follows from the size of the service; none in services below some fifty servers. How long episodes last is learnt for each slice: traces show eight seconds, where three were assumed.

--- a/core/pool/fault.go
+++ b/core/pool/fault.go
@@ -5,16 +5,13 @@
 	"time"
 )
 
-// Model of a server that fails for a few seconds now and then: a hidden Markov model with two states. The rates are those of
-// episodes of about three seconds, and are sooner too high than too low: what is known must be found out again in time.
+// Model of a server that fails for a few seconds now and then: a hidden Markov model with two states, whose rates are learnt for
+// each slice.
 const (
-	onsetRate    = 0.15  // per second, at which a server that is well begins to fail
-	recoveryRate = 0.35  // per second, at which one that fails gets well; halved with each failed try in a row
-	failsSick    = 0.7   // share of requests that fail at a server that fails
-	failsWell    = 0.015 // share of requests that fail at one that is well
-	mostWell     = 0.35  // the most for it while all servers fail
-	firstChance  = 0.05  // that a server of which nothing is known fails
-	mostHalvings = 6
+	failsSick   = 0.7   // share of requests that fail at a server that fails
+	failsWell   = 0.015 // share of requests that fail at one that is well
+	mostWell    = 0.35  // the most for it while all servers fail
+	firstChance = 0.05  // that a server of which nothing is known fails
 
 	// errorWeight is the weight of an error that a server answers: its own word, and about as often the begin of an episode as a
 	// plain failure.
@@ -26,22 +23,43 @@
 
 // fault is the estimate whether a server fails now; the zero value knows nothing.
 type fault struct {
-	sick     float64 // probability of the failing state at the time
+	episodes *episodes // of the slice, nil for the prior rates
+	sick     float64   // probability of the failing state at the time
 	at       time.Time
 	tries    int // failed tries in a row
 	failedAt time.Time
 }
 
+// rates returns the rates per second at which the server begins to fail and gets well.
+func (fault *fault) rates() (onset, recovery float64) {
+	if fault.episodes == nil {
+		return priorOnset, priorRecovery
+	}
+	return fault.episodes.onset(), fault.episodes.recovery()
+}
+
 // estimate moves the probability of the failing state on to now.
 func (fault *fault) estimate(now time.Time) float64 {
 	if fault.at.IsZero() {
 		return firstChance
 	}
-	// A server that failed each try likely fails for longer, and yet not for good: what is known of it ages.
-	recovery := recoveryRate * math.Exp2(-float64(min(mostHalvings, max(0, fault.tries-1))))
-	const resting = onsetRate / (onsetRate + recoveryRate)
+	onset, recovery := fault.rates()
+	resting := onset / (onset + recovery)
 	age := max(0, now.Sub(fault.at).Seconds())
-	return resting + (fault.sick-resting)*math.Exp(-(onsetRate+recovery)*age)
+	return resting + (fault.sick-resting)*math.Exp(-(onset+recovery)*age)
+}
+
+// sound returns the probability that the server counts as sound: it has been well for a while.
+func (fault *fault) sound(now time.Time) float64 {
+	since := now.Add(-soundAfter)
+	if fault.failedAt.After(since) {
+		return 0
+	}
+	if fault.at.After(since) {
+		// What was learnt since then counts as well: it was no failure.
+		return 1 - fault.estimate(now)
+	}
+	return 1 - fault.estimate(since)
 }
 
 // chance returns the probability that a request fails now.
@@ -56,20 +74,41 @@
 	if !grantedAt.After(fault.failedAt) {
 		return
 	}
+	gap, sick := now.Sub(fault.at), fault.estimate(now)
 	fault.observe(now, (1-failsSick)/(1-failsWell))
+	switch {
+	case fault.episodes == nil || gap <= 0:
+	case fault.tries >= surelySick:
+		fault.episodes.recovered(gap, (1-sick)/(1-sick+sick*(1-failsSick)))
+	case fault.tries == 0:
+		fault.episodes.stayedWell(gap)
+	}
 	fault.tries = 0
 }
 
 // fail takes in a failure; one that says less about the server has a weight below 1, and so has each where the other servers
 // fail, too, of which a rate is given.
 func (fault *fault) fail(now time.Time, weight, others float64) {
+	gap := now.Sub(fault.failedAt)
 	fault.observe(now, math.Pow(failsSick/min(mostWell, max(failsWell, others)), weight))
-	if weight > silenceWeight && now.Sub(fault.failedAt) > tryApart {
+	if weight > silenceWeight && gap > tryApart {
 		fault.tries++
+		fault.learn(gap)
 	}
 	fault.failedAt = now
 }
 
+// learn takes in a further failed try.
+func (fault *fault) learn(gap time.Duration) {
+	switch {
+	case fault.episodes == nil:
+	case fault.tries == surelySick:
+		fault.episodes.began()
+	case fault.tries > surelySick:
+		fault.episodes.stayedSick(gap)
+	}
+}
+
 // observe applies a likelihood ratio of the failing state to the other one.
 func (fault *fault) observe(now time.Time, ratio float64) {
 	sick := fault.estimate(now)
--- a/core/pool/options.go
+++ b/core/pool/options.go
@@ -15,6 +15,7 @@
 	Placement   rules.Placement
 	Limit       float64       // requests per second over the slice, 0 for none
 	Wait        time.Duration // longest wait for a slot
+	Servers     int           // of the whole service, 0 for those of the slice
 	RetryShare  float64       // retries and hedges earned by each first attempt
 	RetryBurst  float64       // retries and hedges that may be spent at once
 }
--- a/core/pool/placement.go
+++ b/core/pool/placement.go
@@ -18,19 +18,13 @@
 	crossing  = 0.06 // cost of leaving the asker's failure domain with a small answer
 	crossMany = 0.6  // cost of leaving it with a large answer
 	retried   = 1.0  // cost of a server that the request has tried before
+	unreached = 0.8  // cost of a server that the asking instance could not reach of late
 
 	// A request waits for a slot of a better server rather than go to one that likely fails, for a time that is short beside
 	// the time in which callers expect their answer.
 	likelyFails     = 0.35 // chance of failure, for a request that can be tried again
 	likelyFailsOnce = 0.12 // for others
 	betterWait      = 400 * time.Millisecond
-
-	// Each server gets a request within this time, also one that likely fails: in any two seconds the floor's share of the servers in
-	// order is to be used, all requests of the latest two seconds may be lost without notice, and a server counts as in order again
-	// two seconds after its latest failure.
-	touchOnce  = 1500 * time.Millisecond // by a request that may run once
-	touchAgain = 1200 * time.Millisecond // by one that can be tried again, which finds out at little cost
-	touchFar   = 300 * time.Millisecond  // later by one from another failure domain
 )
 
 // choosePlaced returns the cheapest server for an ask, or nil when none has room.
@@ -60,31 +54,6 @@
 	return best, bestRank
 }
 
-// untouched returns a server that is to get a request so that the floor holds, or nil.
-func (pool *Pool) untouched(now time.Time, ask *Ask) *server {
-	if ask.Hedge || ask.Number > 1 {
-		return nil
-	}
-	within := touchOnce
-	if ask.retriable() {
-		within = touchAgain
-	}
-	var oldest *server
-	for _, s := range pool.servers {
-		due := s.lastGrant.Add(within)
-		if s.member.Domain != ask.Domain {
-			due = due.Add(touchFar)
-		}
-		if s.member.Leaving || ask.excludes(s) || s.pausedBy(ask) || now.Before(due) || s.member.Domain != ask.Domain && ask.Large || s.inFlight >= s.limit(now) || !s.open(now) {
-			continue
-		}
-		if oldest == nil || s.lastGrant.Before(oldest.lastGrant) {
-			oldest = s
-		}
-	}
-	return oldest
-}
-
 // betterWaits reports whether an ask does better to wait for a slot of a busy server than to take the best free one, or to go
 // on to the other slices of the service.
 func (pool *Pool) betterWaits(now time.Time, ask *Ask, best *server) bool {
@@ -144,5 +113,8 @@
 	if r == rankAgain {
 		cost += retried
 	}
+	if server.touches.isCut(now, ask.Entry) {
+		cost += unreached
+	}
 	return cost
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -122,6 +122,8 @@
 	budget       budget // of retries and hedges
 	verifyBudget budget // of verifications
 	baseline     rate   // events of all servers
+	episodes     episodes
+	resting      float64 // share of the sound servers that may be unused
 	vantages     vantages
 	quarantine   quarantine.Quarantine
 	ended        recent
@@ -180,7 +182,7 @@
 	for _, member := range members {
 		s := known[member.Name]
 		if s == nil || s.member.Address != member.Address || !s.member.Started.Equal(member.Started) {
-			s = &server{}
+			s = &server{fault: fault{episodes: &pool.episodes}}
 			s.start(now, member, first)
 		}
 		s.listedLeaving = member.Leaving
@@ -190,6 +192,7 @@
 		servers = append(servers, s)
 	}
 	pool.servers = servers
+	pool.resting = restingShare(pool.policy.Floor, max(pool.policy.Servers, len(servers)))
 	pool.serveWaiters(now)
 }
 
@@ -290,6 +293,7 @@
 		s.lastPathTrial = now
 	}
 	s.lastGrant = now
+	s.touches.begin(now)
 	decision := pool.describe(now, ask.Attempt, g)
 	decision.Close = !s.connections.keep(now, pool.policy.Connections, s.inFlight)
 	return decision
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -63,6 +63,15 @@
 	return 0
 }
 
+// reached reports whether the request had reached the server for sure.
+func (outcome Outcome) reached() bool {
+	switch outcome {
+	case Answered, ServerError, Shed, Reset, Stalled, Truncated:
+		return true
+	}
+	return false
+}
+
 // Report tells what came of a grant.
 type Report struct {
 	Attempt     uint64
@@ -114,6 +123,9 @@
 			pool.noteChance(now, s, report)
 		}
 	}
+	if s != nil && held && (report.Outcome == ConnectFailed || report.Outcome == Unused) && !report.Overdue && !report.Ongoing {
+		s.touches.missed(g.grantedAt)
+	}
 	if s != nil && report.Reused && !report.Overdue && !report.Ongoing {
 		s.connections.reused(now)
 	}
@@ -139,6 +151,9 @@
 	if report.Ongoing {
 		return 0
 	}
+	if report.Outcome.reached() && !report.Overdue {
+		s.touches.reached(now, report.Entry)
+	}
 	pool.noteFingerprint(now, s, report)
 	switch {
 	case report.Overdue && s.cold(now) && !g.patient:
@@ -213,6 +228,8 @@
 	switch {
 	case report.Overdue:
 		s.fault.fail(now, pool.silenceWeight(), baseline)
+	case report.Outcome == ConnectFailed && s.touches.unreached(now, report.Entry):
+		s.fault.fail(now, cutWeight, baseline)
 	case report.Outcome == ServerError:
 		// It is the server's own word, also over a connection that was used before.
 		s.fault.fail(now, errorWeight, baseline)
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -48,6 +48,7 @@
 	sheds         int       // refusals in a row
 	restUntil     time.Time // no work before
 	lastGrant     time.Time
+	touches       touches
 	coldUntil     time.Time            // slowness is no failure before
 	inTime        int                  // answers in time in a row while cold
 	doubtedAt     time.Time            // latest slowness while cold
--- a/entry/members.go
+++ b/entry/members.go
@@ -126,6 +126,7 @@
 	if service := plan.set.Service(slice.Service); service != nil {
 		policy = pool.PolicyOf(service, slices)
 	}
+	policy.Servers = len(plan.servers[slice.Service])
 	policy.RetryShare, policy.RetryBurst = plan.retries.Share, plan.retries.Burst/float64(slices)
 	var out []pool.Member
 	for _, s := range plan.servers[slice.Service] {
