Have grants expire by the asking instance's own clock

A process that was paused for seconds after it had asked sent its request under a grant that the home had taken back meanwhile, to a server that may have left since. A grant may be sent until two seconds after the ask, not counting its time in the queue, by the clock of the instance that asked: what a message waited on its way cannot be told by the home. TestGrantsExpireWhileTheInstanceIsPaused fails before.

--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -261,7 +261,7 @@
 	if exchange.claim != nil && !exchange.now().Before(exchange.writeBy) && !exchange.claimAgain(e.grant) {
 		return true
 	}
-	if !exchange.request.Sending(exchange.now()) {
+	if e.grant.Expired() || !exchange.request.Sending(exchange.now()) {
 		e.grant.Done(pool.Report{Outcome: pool.Unused})
 		return exchange.do(exchange.request.Failed(exchange.now(), retry.Failure{}, nil))
 	}
--- a/adapters/peer/yamux/convert.go
+++ b/adapters/peer/yamux/convert.go
@@ -56,6 +56,7 @@
 		ServerDomain: decision.Domain, SuspectNanos: until(now, decision.SuspectAt),
 		RetryAfterNanos: until(now, decision.RetryAt), Fresh: decision.Fresh, Close: decision.Close,
 		Ejected: ejectedTo(standing.Ejected, now), Leavers: leaversTo(standing.Leavers), StartedUnixNanos: unixNanos(decision.Started),
+		WaitedNanos: decision.Waited.Nanoseconds(),
 	}
 	if decision.Address.IsValid() {
 		message.Address = decision.Address.String()
@@ -69,7 +70,7 @@
 		Attempt: message.GetAttempt(), Verdict: pool.Verdict(message.GetVerdict()), Server: message.GetServer(),
 		Domain: message.GetServerDomain(), SuspectAt: after(now, message.GetSuspectNanos()),
 		RetryAt: after(now, message.GetRetryAfterNanos()), Fresh: message.GetFresh(), Close: message.GetClose(),
-		Started: unixTime(message.GetStartedUnixNanos()),
+		Started: unixTime(message.GetStartedUnixNanos()), Waited: time.Duration(max(0, message.GetWaitedNanos())),
 	}
 	address, err := netip.ParseAddrPort(message.GetAddress())
 	if err != nil && decision.Verdict == pool.Granted {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -99,10 +99,11 @@
 	Domain    string    // the server's failure domain
 	Started   time.Time // of the server's run, zero if not known
 	Address   netip.AddrPort
-	SuspectAt time.Time // no first byte by then makes the server suspect
-	Fresh     bool      // a new connection is required
-	Close     bool      // the connection is not to be kept open afterwards
-	RetryAt   time.Time // when refused
+	SuspectAt time.Time     // no first byte by then makes the server suspect
+	Waited    time.Duration // for which the ask was queued
+	Fresh     bool          // a new connection is required
+	Close     bool          // the connection is not to be kept open afterwards
+	RetryAt   time.Time     // when refused
 }
 
 // Pool holds one slice of a service's backend servers; the zero value is an empty pool with the default policy.
@@ -296,6 +297,9 @@
 	s.lastGrant = now
 	s.touches.begin(now)
 	decision := pool.describe(now, ask.Attempt, g)
+	if !ask.since.IsZero() {
+		decision.Waited = now.Sub(ask.since)
+	}
 	decision.Close = !s.connections.keep(now, pool.policy.Connections, s.inFlight)
 	return decision
 }
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -16,8 +16,9 @@
 	pool.Decision
 	Slice home.Slice
 
-	entry *Entry
-	ask   pool.Ask
+	entry  *Entry
+	ask    pool.Ask
+	sendBy time.Time // the server and the slot may be another's after it
 	peer  Peer   // the home that granted, when another instance
 	local *homes // the pools that granted, when here
 }
@@ -57,6 +58,12 @@
 	return nil, pool.Decision{Verdict: pool.Full, RetryAt: entry.Clock()}
 }
 
+// grantLength is how long a grant may be sent: the home takes back what an instance does not say it holds after as long.
+const grantLength = 2 * time.Second
+
+// Expired reports whether the grant must not be sent any more: this instance was paused since it asked.
+func (grant *Grant) Expired() bool { return grant.entry.Clock().After(grant.sendBy) }
+
 // neighbour returns the slice so many places on.
 func neighbour(slice home.Slice, on, slices int) home.Slice {
 	return home.Slice{Service: slice.Service, Index: (slice.Index + on) % slices}
@@ -70,18 +77,25 @@
 // Acquire asks the slice's home for a grant, then its deputy, then decides alone. The grant is nil when the decision is a refusal.
 func (entry *Entry) Acquire(ctx context.Context, slice home.Slice, ask pool.Ask) (*Grant, pool.Decision) {
 	for range mostGivenBack {
+		askedAt := entry.Clock()
 		var free time.Time
-		ask.Paused, free = entry.notices.paused(entry.Clock(), slice.Service)
+		ask.Paused, free = entry.notices.paused(askedAt, slice.Service)
 		grant, decision := entry.acquire(ctx, slice, ask)
 		if grant == nil {
 			return nil, sooner(decision, free)
 		}
+		// By this instance's own clock: how long the decision was on its way is not known to the home.
+		grant.sendBy = askedAt.Add(decision.Waited + grantLength)
 		unwanted, leaving := grant.unwanted()
 		switch {
 		case unwanted:
 			entry.count("entry.leaving-servers-granted")
 			grant.Done(pool.Report{Outcome: pool.Unused, Leaving: leaving})
 			ask.Exclude = append(slices.Clone(ask.Exclude), grant.Server)
+		case grant.Expired():
+			// This instance was paused, or the decision was late.
+			entry.count("entry.expired-grants")
+			grant.Done(pool.Report{Outcome: pool.Unused})
 		case entry.notices.isPaused(entry.Clock(), slice.Service, grant.Server):
 			// The server turned this instance away while the ask was on its way.
 			entry.count("entry.paused-servers-granted")
