--- a/testing/soak/ledger_test.go
+++ b/testing/soak/ledger_test.go
@@ -146,6 +146,9 @@
 	return l.disturbed(since.Add(-clockSlack), time.Now(), "all", "process "+instance, "stop "+instance)
 }
 
+// turnedAway reports whether an instance is one of those, every other one, that a server turns away.
+func turnedAway(instance string) bool { return instance[len(instance)-1]%2 == 0 }
+
 // arrive notes that a request has reached a server, before it is known whether it runs, and reports whether it is turned away.
 func (l *ledger) arrive(id, server string, turnsAway bool) bool {
 	l.mu.Lock()
@@ -161,6 +164,7 @@
 			l.fail("pause", "%d requests by %s, the last one %s, reach %s within its pause", p.arrived, s.instance, id, server)
 		}
 	}
+	turnsAway = turnsAway && turnedAway(s.instance)
 	if turnsAway {
 		l.pauses[at] = &pauseSpan{from: now, until: now.Add(pauseTime)}
 	}
--- a/testing/soak/plan_test.go
+++ b/testing/soak/plan_test.go
@@ -17,7 +17,7 @@
 	mostLength  = 3 * time.Second
 	lastingOdds = 0.1             // chance that a step lasts so much longer
 	longer      = 4 * time.Second // than a lease
-	mostNotices = 3               // steps of noticeActions
+	moreNotices = 2               // steps of noticeActions at the most, beside one of each
 )
 
 // action is a kind of step.
@@ -91,9 +91,13 @@
 		}
 	}
 	notices := rand.New(rand.NewPCG(seed, 0x50a5))
-	for range notices.IntN(mostNotices + 1) {
+	played := slices.Clone(noticeActions)
+	for range notices.IntN(moreNotices + 1) {
+		played = append(played, noticeActions[notices.IntN(len(noticeActions))])
+	}
+	for _, action := range played {
 		plan = append(plan, step{
-			at: time.Duration(notices.Int64N(int64(faultTime))), action: noticeActions[notices.IntN(len(noticeActions))],
+			at: time.Duration(notices.Int64N(int64(faultTime))), action: action,
 			target: notices.IntN(1000), way: notices.IntN(1000), length: time.Second + time.Duration(notices.Int64N(int64(mostLength))),
 		})
 	}
--- a/testing/soak/steps_test.go
+++ b/testing/soak/steps_test.go
@@ -217,13 +217,15 @@
 		return
 	}
 	w.addServer(s.Service, netip.AddrPort{})
+	stays := drainMost + time.Second
 	if how == depart {
 		s.setMood(depart)
+		stays += departStays
 	} else {
 		w.store.Put("servers/"+s.ID, s.Record("draining"))
 		w.ledger.drains(s.ID)
 	}
-	time.Sleep(drainMost + time.Second)
+	time.Sleep(stays)
 	w.store.Remove("servers/" + s.ID)
 	time.Sleep(time.Second)
 	w.ledger.disturb("server " + s.ID)
--- a/testing/soak/world_test.go
+++ b/testing/soak/world_test.go
@@ -27,7 +27,8 @@
 	longTime     = 2500 * time.Millisecond // beyond many deadlines
 	largeBody    = 200 << 10
 	restartAfter = 100 * time.Millisecond
-	pauseTime    = 1500 * time.Millisecond // for which a backend server turns an instance away
+	departStays  = 2 * time.Second         // longer than a server that the list shows as leaving
+	pauseTime    = 2500 * time.Millisecond // for which a backend server turns an instance away
 	catchesAfter = 100 * time.Millisecond  // after its start a process catches signals; 10 ms on an idle machine
 )
 
@@ -152,7 +153,7 @@
 	mood := s.mood
 	s.mu.Unlock()
 	id := platform.RequestID(r)
-	if w.ledger.arrive(id, s.ID, mood == turnAway && len(id)%3 == 0) {
+	if w.ledger.arrive(id, s.ID, mood == turnAway) {
 		s.TurnAway(writer, r, pauseTime)
 		return true
 	}
