--- a/entry/start.go
+++ b/entry/start.go
@@ -24,9 +24,9 @@
 	// leastGroup is the size from which the lists are learnt from the group. In smaller fleets the platform's link is wide enough for
 	// all to read them at once, and instances that start at the same moment are slower to tell each other.
 	leastGroup    = 12
-	startRanks    = 2                      // instances of a group that may be asked
+	startRanks    = 2                       // instances of a group that may be asked
 	startPatience = 1200 * time.Millisecond // with each of those that go before, until the platform's lists are read after all
-	startPause    = 50 * time.Millisecond  // between tries
+	startPause    = 50 * time.Millisecond   // between tries
 )
 
 // startFromGroup learns the lists and the rules from an instance of the same group, unless this one is the first of them or they
