--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -225,10 +225,11 @@
 		s.freshUntil = now.Add(freshLength)
 	}
 	baseline := baselineWithout(now, &pool.baseline, &s.events)
+	pathFailed := report.Outcome == ConnectFailed && s.touches.unreached(now, report.Entry)
 	switch {
 	case report.Overdue:
 		s.fault.fail(now, pool.silenceWeight(), baseline)
-	case report.Outcome == ConnectFailed && s.touches.unreached(now, report.Entry):
+	case pathFailed:
 		s.fault.fail(now, cutWeight, baseline)
 	case report.Outcome == ServerError:
 		// It is the server's own word, also over a connection that was used before.
