Have an instance ask others which servers are leaving before it counts as ready

Cause: an instance that started anew and is a home granted a leaving server before any other had opened a session with it, and so greeted it.

--- a/adapters/peer/yamux/lists.go
+++ b/adapters/peer/yamux/lists.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/notice"
 	"github.com/sequoiaspan/sequoiaspan/entry"
 	"github.com/sequoiaspan/sequoiaspan/wire"
 )
@@ -14,6 +15,7 @@
 		AgeNanos: lists.Age.Nanoseconds(),
 		Entries:  entryChangesTo(&lists.Entries, now),
 		Servers:  serverChangesTo(&lists.Servers, now),
+		Leavers:  unlistedTo(lists.Leavers),
 	}
 }
 
@@ -26,7 +28,25 @@
 	if err != nil {
 		return entry.Lists{}, err
 	}
-	return entry.Lists{Age: time.Duration(message.GetAgeNanos()), Entries: entries, Servers: servers}, nil
+	return entry.Lists{
+		Age: time.Duration(message.GetAgeNanos()), Entries: entries, Servers: servers, Leavers: unlistedFrom(message.GetLeavers()),
+	}, nil
+}
+
+func unlistedTo(leavers []notice.Server) []*wire.Leaver {
+	var out []*wire.Leaver
+	for _, leaver := range leavers {
+		out = append(out, &wire.Leaver{Server: leaver.Name, StartedUnixNanos: unixNanos(leaver.Started), Service: leaver.Service})
+	}
+	return out
+}
+
+func unlistedFrom(messages []*wire.Leaver) []notice.Server {
+	var out []notice.Server
+	for _, m := range messages {
+		out = append(out, notice.Server{Name: m.GetServer(), Service: m.GetService(), Started: unixTime(m.GetStartedUnixNanos())})
+	}
+	return out
 }
 
 func entryChangesTo(changes *instance.Changes[instance.Entry], now time.Time) *wire.EntryChanges {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -154,11 +154,13 @@
 	limits   limits
 	leaving  atomic.Bool
 	stopping atomic.Bool
-	left     context.Context // ends when the instance leaves
-	leave    context.CancelFunc
-	lookups  atomic.Uint64
-	attempts atomic.Uint64 // latest number of an ask that this instance makes by itself
-	initOnce sync.Once
+	// introduced is set once others were asked what they know of servers, or have not answered.
+	introduced atomic.Bool
+	left       context.Context // ends when the instance leaves
+	leave      context.CancelFunc
+	lookups    atomic.Uint64
+	attempts   atomic.Uint64 // latest number of an ask that this instance makes by itself
+	initOnce   sync.Once
 
 	verifications chan func(context.Context) // waiting for a worker
 }
@@ -219,9 +221,10 @@
 // Stop has further requests refused.
 func (entry *Entry) Stop() { entry.stopping.Store(true) }
 
-// IsReady reports whether this instance serves callers: it has rules and knows backend servers.
+// IsReady reports whether this instance serves callers: it has rules and knows backend servers, and what others know of them.
 func (entry *Entry) IsReady() bool {
-	return !entry.IsLeaving() && entry.rules.load().version > 0 && len(entry.members.plan().servers) > 0
+	introduced := entry.Feed == nil || entry.introduced.Load()
+	return !entry.IsLeaving() && introduced && entry.rules.load().version > 0 && len(entry.members.plan().servers) > 0
 }
 
 // Run keeps the instance's state until the context ends.
@@ -235,7 +238,7 @@
 		parts = append(parts, entry.followInstances)
 	}
 	if entry.Feed != nil {
-		parts = append(parts, entry.followFeed, entry.pullLists, entry.expireLists)
+		parts = append(parts, entry.followFeed, entry.pullLists, entry.expireLists, entry.introduce)
 	}
 	if entry.Registrar != nil {
 		parts = append(parts, entry.announce)
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -11,6 +11,7 @@
 
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/notice"
 	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
@@ -53,6 +54,8 @@
 	Entries instance.Changes[instance.Entry]
 	Servers instance.Changes[instance.Server]
 	Rules   RulesVersion // not passed on between instances with the lists
+	// Leavers are servers that have said that they are leaving, which the platform's list does not show so.
+	Leavers []notice.Server
 }
 
 // lists are the platform's lists as this instance knows them.
@@ -277,6 +280,7 @@
 			entry.count("lists.silent-readers")
 			continue
 		}
+		entry.toldOf(pulled.Leavers)
 		if entry.lists.apply(pulled) {
 			entry.listsChanged()
 		}
@@ -331,5 +335,6 @@
 		}
 	}
 	lists.Age = entry.ListAge(entry.Clock())
+	lists.Leavers = entry.unlistedLeavers()
 	return lists
 }
--- a/entry/lists_test.go
+++ b/entry/lists_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -97,7 +98,7 @@
 }
 
 func (peers *listPeers) PullLists(_ context.Context, to Peer, revision uint64, wait time.Duration) (Lists, error) {
-	return peers.all[to.Name].HandlePullLists(revision, wait), nil
+	return peers.all[strings.TrimPrefix(to.Name, startName)].HandlePullLists(revision, wait), nil
 }
 
 func (peers *listPeers) Reachable(string) bool { return true }
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,13 +115,28 @@
 	}
 }
 
+// toldOf takes in another instance's word of servers of any service that are leaving.
+func (entry *Entry) toldOf(servers []notice.Server) {
+	for _, server := range servers {
+		entry.told(server.Service, []pool.Leaver{{Server: server.Name, Started: server.Started}})
+	}
+}
+
+// unlistedLeavers returns the servers that are leaving by their own word, and not by the list.
+func (entry *Entry) unlistedLeavers() []notice.Server {
+	plan := entry.members.plan()
+	return slices.DeleteFunc(entry.notices.leaving(), func(server notice.Server) bool {
+		listed, found := plan.server(server.Name)
+		return !found || listed.State == instance.Leaving
+	})
+}
+
 // leavers returns the servers of a slice that are leaving by their own word, and not by the list.
 func (entry *Entry) leavers(slice home.Slice) []pool.Leaver {
 	plan := entry.members.plan()
 	var out []pool.Leaver
-	for _, server := range entry.notices.leaving() {
-		listed, found := plan.server(server.Name)
-		if plan.sliceOf(server) == slice && found && listed.State != instance.Leaving {
+	for _, server := range entry.unlistedLeavers() {
+		if plan.sliceOf(server) == slice {
 			out = append(out, pool.Leaver{Server: server.Name, Started: server.Started})
 		}
 	}
--- a/entry/start.go
+++ b/entry/start.go
@@ -61,18 +61,54 @@
 	}
 }
 
+// startName begins the names of instances that are asked at a start. They may be starting as well, and their silence must not speak
+// against them as homes.
+const startName = "start "
+
+func startPeer(other instance.Entry) Peer { return Peer{startName + other.Name, other.Peer} }
+
 // startFrom learns lists and rules from an instance that may be starting as well, and reports whether it has fresh ones.
 func (entry *Entry) startFrom(ctx context.Context, other instance.Entry) bool {
-	// A name of its own keeps its silence from speaking against the instance as a home.
-	peer := Peer{"start " + other.Name, other.Peer}
+	peer := startPeer(other)
 	pulled, err := entry.Peers.PullLists(ctx, peer, 0, pullWait)
 	if err != nil || pulled.Entries.Revision == 0 || pulled.Age > staleAfter {
 		return false
 	}
 	entry.pullFrom(ctx, peer, entry.rules.load().version)
+	entry.toldOf(pulled.Leavers)
 	if entry.lists.apply(pulled) {
 		entry.listsChanged()
 	}
 	entry.lists.heard(entry.Clock(), pulled.Age)
 	return true
 }
+
+// Introduction of an instance that has just learnt the lists.
+const (
+	introductions = 2                      // instances that are asked
+	introduceMost = 300 * time.Millisecond // for all of them, after which the instance is ready all the same
+)
+
+// introduce asks other instances which servers are leaving by their own word, before this one counts as ready: what it knew of them
+// before a restart is lost.
+func (entry *Entry) introduce(ctx context.Context) {
+	defer entry.introduced.Store(true)
+	for entry.lists.revision() == 0 && ctx.Err() == nil {
+		wait.For(ctx, startPause)
+	}
+	ctx, cancel := context.WithTimeout(ctx, introduceMost)
+	defer cancel()
+	asked := 0
+	for _, other := range append(slices.Clone(entry.readers()), entry.members.plan().entries...) {
+		if other.Name == entry.Name || asked == introductions {
+			continue
+		}
+		asked++
+		pulled, err := entry.Peers.PullLists(ctx, startPeer(other), entry.lists.revision(), 0)
+		if err != nil {
+			entry.Log.Debug("instances: a peer did not tell which servers are leaving", zap.String("peer", other.Name), zap.Error(err))
+			continue
+		}
+		entry.toldOf(pulled.Leavers)
+	}
+}
