--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -55,7 +55,7 @@
 
 func (exchange *exchange) outgoingRequest(ctx context.Context, grant *entry.Grant) *http.Request {
 	out := exchange.r.Clone(ctx)
-	attemptInfo := dialect.Attempt{Now: exchange.now(), Deadline: exchange.request.Deadline, Server: grant.Server}
+	attemptInfo := exchange.attemptInfo(grant.Server)
 	out.Header = exchange.handler.outgoingHeader(exchange.r.WithContext(ctx), attemptInfo)
 	out.Body = exchange.body.open()
 	out.ContentLength = exchange.body.length
@@ -67,6 +67,13 @@
 	return out
 }
 
+// attemptInfo returns the metadata for an attempt at a server.
+func (exchange *exchange) attemptInfo(server string) dialect.Attempt {
+	return dialect.Attempt{
+		Now: exchange.now(), Deadline: exchange.request.Deadline, Server: server, KeysRequired: exchange.keysRequired, Team: exchange.info.Team,
+	}
+}
+
 // handleOverdue handles an attempt that has received no first byte by its grant's SuspectAt; it may start a hedge.
 func (exchange *exchange) handleOverdue(a *attempt) bool {
 	if exchange.out[a.id] != a {
@@ -159,8 +166,7 @@
 		Method: method, Target: exchange.r.URL.RequestURI(), Host: exchange.r.Host,
 	}
 	for _, grant := range exchange.suspects {
-		attemptInfo := dialect.Attempt{Now: exchange.now(), Deadline: exchange.request.Deadline}
-		copied.Header = exchange.handler.outgoingHeader(exchange.r, attemptInfo)
+		copied.Header = exchange.handler.outgoingHeader(exchange.r, exchange.attemptInfo(""))
 		grant.RequestVerification(copied, exchange.handler.nextAttempt)
 	}
 }
--- /dev/null
+++ b/adapters/caller/http/authorization.go
@@ -0,0 +1,80 @@
+package http
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sequoiaspan/sequoiaspan/core/retry"
+	"github.com/sequoiaspan/sequoiaspan/core/rules"
+	"github.com/sequoiaspan/sequoiaspan/dialect"
+	"github.com/sequoiaspan/sequoiaspan/quota"
+)
+
+// Quotas enforces the rate limits of teams.
+type Quotas interface {
+	Admit(ctx context.Context, team string) quota.Decision
+	// Return gives back what an admitted request used that was not run.
+	Return(team string)
+}
+
+// authorize sets the team of a request's key and reports whether the rules let the request pass. Requests on public routes
+// pass without a team if their key is missing, malformed or unknown.
+func authorize(set *rules.Set, route *rules.Route, info *dialect.RequestInfo) bool {
+	if !set.KeysRequired() {
+		return true
+	}
+	info.Team = ""
+	if info.Credential.Valid {
+		if team := set.TeamOfKey(info.Credential.Digest); team != nil {
+			info.Team = team.Name
+			return true
+		}
+	}
+	return route.Public
+}
+
+// stillAuthorized reports whether the rules in force still let the request pass, on its route and as the same team: it may have
+// waited while a key was withdrawn or moved to another team.
+func (exchange *exchange) stillAuthorized() bool {
+	set, version := exchange.handler.Entry.Rules()
+	if version == exchange.rulesVersion {
+		return true
+	}
+	exchange.rulesVersion = version
+	info := dialect.RequestInfo{Team: exchange.info.Team, Credential: exchange.info.Credential}
+	return authorize(set, exchange.route, &info) && info.Team == exchange.info.Team
+}
+
+// admit takes one request of a team's limit. It refuses the request and returns false if there is none.
+func (handler *Handler) admit(w http.ResponseWriter, r *http.Request, info *dialect.RequestInfo) bool {
+	if handler.Quotas == nil {
+		return true
+	}
+	decision := handler.Quotas.Admit(r.Context(), info.Team)
+	if decision.Admitted {
+		return true
+	}
+	reason := retry.ReasonRateLimit
+	if decision.Unknown {
+		reason = retry.ReasonLimitUnknown
+	}
+	answer := retry.Answer{ExecutionStatus: retry.NotRun, Reason: reason, RetryAt: decision.RetryAt}
+	handler.logOverLimit(r, info, answer, decision)
+	handler.answer(w, r, answer)
+	return false
+}
+
+// returnQuota gives back what a request that was not run used of its team's limit.
+func (handler *Handler) returnQuota(team string) {
+	if handler.Quotas != nil {
+		handler.Quotas.Return(team)
+	}
+}
+
+// priority returns the priority of a team's requests on a route.
+func priority(set *rules.Set, route *rules.Route, team string) int {
+	if rule := set.Team(team); rule != nil && rule.Priority != nil {
+		return *rule.Priority
+	}
+	return route.Priority
+}
--- a/adapters/caller/http/body.go
+++ b/adapters/caller/http/body.go
@@ -95,7 +95,7 @@
 func fingerprint(r *http.Request, info *dialect.RequestInfo, body *body) uint64 {
 	digest := xxhash.New()
 	for _, part := range []string{
-		r.Method, r.URL.RequestURI(), info.Team, info.Key, r.Header.Get("Content-Type"),
+		r.Method, r.URL.RequestURI(), info.Team, info.IdempotencyKey, r.Header.Get("Content-Type"),
 	} {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
--- a/adapters/caller/http/decisions.go
+++ b/adapters/caller/http/decisions.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/quota"
 )
 
 // The decision log contains all lines of requests that fail, are late or are retried, and one line per second of a
@@ -40,7 +41,7 @@
 func (budget *logBudget) admit(now time.Time) (admitted bool, dropped int) {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
-	granted, _ := budget.detailed.Take(now, maxDetailedPerSecond, 1)
+	granted, _ := budget.detailed.Take(now, limit.Limit{Rate: maxDetailedPerSecond}, 1)
 	if granted == 0 {
 		budget.dropped++
 	}
@@ -235,10 +236,27 @@
 	if !handler.admitDetailedLog() {
 		return
 	}
+	handler.Log.Info("request: rejected", handler.rejectionFields(r, info, answer)...)
+}
+
+// logOverLimit logs a request that was rejected because of its team's limit.
+func (handler *Handler) logOverLimit(r *http.Request, info *dialect.RequestInfo, answer retry.Answer, decision quota.Decision) {
+	if !handler.admitDetailedLog() {
+		return
+	}
+	handler.Log.Info("request: rejected", append(handler.rejectionFields(r, info, answer),
+		zap.Float64("limit", decision.Limit.Rate), zap.Float64("burst", decision.Limit.Burst), zap.String("decided-by", decision.DecidedBy))...)
+}
+
+func (handler *Handler) rejectionFields(r *http.Request, info *dialect.RequestInfo, answer retry.Answer) []zap.Field {
 	_, version := handler.Entry.Rules()
 	now := handler.Clock()
-	handler.Log.Info("request: rejected", append([]zap.Field{
+	fields := []zap.Field{
 		zap.String("request", info.ID), zap.String("method", r.Method), zap.String("host", r.Host), zap.String("path", r.URL.Path),
 		zap.String("team", info.Team), zap.Uint64("rules-version", version), handler.Entry.LoggedListAge(now),
-	}, answerFields(now, answer)...)...)
+	}
+	if info.Credential.Presented {
+		fields = append(fields, zap.Bool("key-well-formed", info.Credential.Valid), zap.String("key", info.Credential.Digest.Short()))
+	}
+	return append(fields, answerFields(now, answer)...)
 }
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -22,6 +22,9 @@
 	w             http.ResponseWriter
 	r             *http.Request
 	route         *rules.Route
+	priority      int    // of the team, or of the route
+	rulesVersion  uint64 // version that let the request pass
+	keysRequired  bool
 	service       *rules.Service
 	slice         home.Slice
 	body          *body
@@ -74,7 +77,7 @@
 		exchange.request.MaxAttempts = route.MaxAttempts
 	}
 	exchange.slice = handler.Entry.SliceFor(service.Name, exchange.fingerprint)
-	if key := info.Key; key != "" && !exchange.request.Idempotent {
+	if key := info.IdempotencyKey; key != "" && !exchange.request.Idempotent {
 		exchange.claim = &idempotency.Claim{
 			Key: claimKey(service.Name, key), CreatedAt: idempotency.CreatedAt(key), Attempt: handler.nextAttempt(),
 			Digest: exchange.fingerprint, Deadline: info.Deadline,
@@ -193,7 +196,7 @@
 		ask := pool.Ask{
 			Attempt: exchange.handler.nextAttempt(), Team: exchange.info.Team, Idempotent: exchange.request.Idempotent,
 			Hedge: action.Hedge, Number: exchange.request.Number(), Exclude: append([]string(nil), exchange.request.TriedServers()...),
-			Deadline: exchange.request.Deadline, Fingerprint: exchange.fingerprint, Priority: exchange.route.Priority, Large: exchange.route.Large, Last: exchange.request.IsLastAttempt(),
+			Deadline: exchange.request.Deadline, Fingerprint: exchange.fingerprint, Priority: exchange.priority, Large: exchange.route.Large, Last: exchange.request.IsLastAttempt(),
 		}
 		go exchange.ask(ask, action.At)
 	case retry.Wait:
@@ -262,6 +265,10 @@
 	if exchange.claim != nil && !exchange.now().Before(exchange.writeDeadline) && !exchange.renewClaim(e.grant) {
 		return true
 	}
+	if !exchange.stillAuthorized() {
+		e.grant.Done(pool.Report{Outcome: pool.Unused})
+		return exchange.perform(exchange.request.Denied(retry.ReasonKeyUnknown))
+	}
 	if e.grant.Expired() || !exchange.request.AllowWrite(exchange.now()) {
 		e.grant.Done(pool.Report{Outcome: pool.Unused})
 		return exchange.perform(exchange.request.Failed(exchange.now(), retry.Failure{}, nil))
@@ -307,7 +314,11 @@
 	exchange.settle(idempotency.Settlement{NotRun: action.Answer.ExecutionStatus == retry.NotRun})
 }
 
+// settle ends the request's claim, and gives back what a request that was not run used of its team's limit.
 func (exchange *exchange) settle(settlement idempotency.Settlement) {
+	if settlement.NotRun {
+		exchange.handler.returnQuota(exchange.info.Team)
+	}
 	if exchange.claim == nil {
 		return
 	}
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -259,6 +259,10 @@
 		return false
 	}
 	exchange.request.Granted(grant.Server)
+	if !exchange.stillAuthorized() {
+		grant.Done(pool.Report{Outcome: pool.Unused})
+		return false
+	}
 	a, err := exchange.sendRange(grant, ask.Attempt, download.offset, etag, action.At)
 	if err != nil {
 		grant.Done(pool.Report{Outcome: pool.Reset})
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -41,6 +41,7 @@
 // Handler serves callers. Its exported fields must be set before the first request.
 type Handler struct {
 	Entry   *entry.Entry
+	Quotas  Quotas // nil for no limits
 	Backend Sender
 	Log     *zap.Logger
 	Metrics metrics.Registry
@@ -132,11 +133,11 @@
 		handler.refuse(w, r, &info, retry.ReasonBadRequest, time.Time{})
 		return
 	}
-	info.Deadline = earlier(now.Add(route.Timeout), info.Deadline)
-	if retryAt, admitted := handler.Entry.Admit(r.Context(), info.Team); !admitted {
-		handler.refuse(w, r, &info, retry.ReasonRateLimit, retryAt)
+	if !authorize(set, route, &info) {
+		handler.refuse(w, r, &info, retry.ReasonKeyUnknown, time.Time{})
 		return
 	}
+	info.Deadline = earlier(now.Add(route.Timeout), info.Deadline)
 	if maxBytes := set.CallerLimits().MaxBodyBytes; maxBytes > 0 {
 		if r.ContentLength > maxBytes {
 			handler.refuse(w, r, &info, retry.ReasonBodyTooLarge, time.Time{})
@@ -144,13 +145,18 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
 	}
+	if !handler.admit(w, r, &info) {
+		return
+	}
 	body, err := readBody(w, r)
 	if err != nil {
+		handler.returnQuota(info.Team)
 		handler.refuse(w, r, &info, retry.ReasonBadRequest, time.Time{})
 		return
 	}
-	service := set.Service(route.PickService(handler.splitPoint(route)))
-	newExchange(handler, w, r, route, service, info, body).run()
+	exchange := newExchange(handler, w, r, route, set.Service(route.PickService(handler.splitPoint(route))), info, body)
+	exchange.rulesVersion, exchange.keysRequired, exchange.priority = version, set.KeysRequired(), priority(set, route, info.Team)
+	exchange.run()
 }
 
 // refuse answers a request that was not sent to any backend server.
--- a/adapters/peer/yamux/client.go
+++ b/adapters/peer/yamux/client.go
@@ -470,17 +470,6 @@
 	return reply.GetRules().GetVersion(), text, nil
 }
 
-// TakeTokens requests tokens of a team's limit from its home and returns the number granted and when to retry.
-func (client *Client) TakeTokens(ctx context.Context, to entry.Peer, team string, want int) (int, time.Time, error) {
-	frame := &wire.Frame{Body: &wire.Frame_Tokens{Tokens: &wire.Tokens{Team: team, Want: uint32(want)}}}
-	reply, err := client.call(ctx, "take-tokens", to, frame)
-	if err != nil {
-		return 0, time.Time{}, err
-	}
-	tokens := reply.GetTokensReply()
-	return int(tokens.GetGranted()), deadlineAfter(client.Clock(), tokens.GetRetryAfterNanos()), nil
-}
-
 // PullLists asks a peer for list changes after a revision and waits up to the given time for one.
 func (client *Client) PullLists(ctx context.Context, to entry.Peer, revision instance.Revision, wait time.Duration) (entry.Lists, error) {
 	frame := &wire.Frame{Body: &wire.Frame_PullLists{PullLists: &wire.PullLists{
--- a/adapters/peer/yamux/server.go
+++ b/adapters/peer/yamux/server.go
@@ -15,8 +15,10 @@
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/limit"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/quota"
 	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
@@ -30,7 +32,6 @@
 	HandleHandover(handover idempotency.Handover) (idempotency.HandoverReply, bool)
 	HandlePullRules(have uint64) (version uint64, text string)
 	HandleVerify(verification entry.Verification)
-	HandleTakeTokens(team string, want int) (granted int, retryAt time.Time)
 	HandleVersions(from entry.Peer, rulesVersion, tableEpoch uint64)
 	HandlePullLists(revision instance.Revision, wait time.Duration) entry.Lists
 	MarkLeaving(name string)
@@ -39,9 +40,17 @@
 	PeerNamed(name string) (entry.Peer, bool)
 }
 
+// QuotaHandler processes messages about the rate limits of teams.
+type QuotaHandler interface {
+	HandleTakeTokens(ctx context.Context, team string, want int) limit.Grant
+	HandleReturnTokens(team string, count int)
+	HandleCounts(counts []quota.Count)
+}
+
 // Server serves other entry instances. Set its exported fields before calling Serve.
 type Server struct {
 	Handler     Handler
+	Quota       QuotaHandler
 	Log         *zap.Logger
 	Tracer      trace.Tracer
 	Clock       func() time.Time
@@ -178,14 +187,16 @@
 		}
 		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_Rules{Rules: &wire.Rules{Version: version, Text: deflated}}})
 	case *wire.Frame_Tokens:
-		granted, retryAt := handler.HandleTakeTokens(body.Tokens.GetTeam(), int(body.Tokens.GetWant()))
-		reply := &wire.TokensReply{Granted: uint32(granted), RetryAfterNanos: nanosUntil(now, retryAt)}
-		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_TokensReply{TokensReply: reply}})
+		remote.tokens(frame.GetId(), body.Tokens, now)
+	case *wire.Frame_Counts:
+		remote.server.Quota.HandleCounts(countsFromWire(body.Counts))
 	case *wire.Frame_PullLists:
 		go remote.pullLists(frame.GetId(), body.PullLists)
 	case *wire.Frame_Leaving:
 		handler.MarkLeaving(remote.peer.Name)
 		remote.reply(frame.GetId(), &wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{}}})
+	case nil:
+		// A message of a later build: its sender does without a reply.
 	default:
 		return &Error{Op: "handle", Kind: KindProtocol, Peer: remote.peer.Name, Err: errProtocol}
 	}
@@ -206,6 +217,21 @@
 	})
 }
 
+// tokens takes back tokens that were not used and grants others. A message that wants none has no id, unless it is a probe.
+func (remote *remote) tokens(id uint64, message *wire.Tokens, now time.Time) {
+	if returned := int(message.GetReturned()); returned > 0 {
+		remote.server.Quota.HandleReturnTokens(message.GetTeam(), returned)
+	}
+	if id == 0 {
+		return
+	}
+	grant := limit.Grant{}
+	if want := int(message.GetWant()); want > 0 {
+		grant = remote.server.Quota.HandleTakeTokens(context.Background(), message.GetTeam(), want)
+	}
+	remote.reply(id, &wire.Frame{Body: &wire.Frame_TokensReply{TokensReply: grantToWire(grant, now)}})
+}
+
 // pullLists waits for a list change and replies.
 func (remote *remote) pullLists(id uint64, message *wire.PullLists) {
 	lists := remote.server.Handler.HandlePullLists(revisionOf(message), time.Duration(message.GetWaitNanos()))
--- a/adapters/peer/yamux/yamux_test.go
+++ b/adapters/peer/yamux/yamux_test.go
@@ -25,8 +25,10 @@
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/limit"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/quota"
 	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
@@ -36,6 +38,8 @@
 	silent  atomic.Bool
 	// verified receives the requested verifications.
 	verified chan entry.Verification
+	returned chan string
+	counts   chan []quota.Count
 	// pulled receives the revision of each list pull; listsAt is the time of the last one.
 	pulled  chan instance.Revision
 	listsAt time.Time
@@ -52,17 +56,21 @@
 	}
 	reply(pool.Decision{Attempt: ask.Attempt, Server: "balances-1", Domain: "domain-1", Address: anyServer, SuspectAt: time.Now().Add(time.Second)}, pool.Snapshot{})
 }
-func (h *fakeHandler) HandleReport(home.Slice, pool.Report)          { h.reports.Add(1) }
-func (h *fakeHandler) HandleRenew(string, string, entry.Renewal)     {}
-func (h *fakeHandler) HandleVerify(v entry.Verification)             { h.verified <- v }
-func (h *fakeHandler) HandleSettle(idempotency.Settlement) bool      { return true }
-func (h *fakeHandler) HandlePullRules(uint64) (uint64, string)       { return 3, "rules" }
-func (h *fakeHandler) HandleTakeTokens(string, int) (int, time.Time) { return 2, time.Time{} }
-func (h *fakeHandler) HandleVersions(entry.Peer, uint64, uint64)     {}
-func (h *fakeHandler) MarkLeaving(string)                            {}
-func (h *fakeHandler) MarkStarted(string)                            {}
-func (h *fakeHandler) Versions() (uint64, uint64)                    { return 3, 4 }
-func (h *fakeHandler) PeerNamed(name string) (entry.Peer, bool)      { return entry.Peer{Name: name}, false }
+func (h *fakeHandler) HandleReport(home.Slice, pool.Report)      { h.reports.Add(1) }
+func (h *fakeHandler) HandleRenew(string, string, entry.Renewal) {}
+func (h *fakeHandler) HandleVerify(v entry.Verification)         { h.verified <- v }
+func (h *fakeHandler) HandleSettle(idempotency.Settlement) bool  { return true }
+func (h *fakeHandler) HandlePullRules(uint64) (uint64, string)   { return 3, "rules" }
+func (h *fakeHandler) HandleTakeTokens(context.Context, string, int) limit.Grant {
+	return limit.Grant{Tokens: 2}
+}
+func (h *fakeHandler) HandleReturnTokens(team string, count int) { h.returned <- team }
+func (h *fakeHandler) HandleCounts(counts []quota.Count)         { h.counts <- counts }
+func (h *fakeHandler) HandleVersions(entry.Peer, uint64, uint64) {}
+func (h *fakeHandler) MarkLeaving(string)                        {}
+func (h *fakeHandler) MarkStarted(string)                        {}
+func (h *fakeHandler) Versions() (uint64, uint64)                { return 3, 4 }
+func (h *fakeHandler) PeerNamed(name string) (entry.Peer, bool)  { return entry.Peer{Name: name}, false }
 func (h *fakeHandler) HandleClaim(idempotency.Claim) idempotency.Verdict {
 	return idempotency.Verdict{Answer: idempotency.AlreadyRan, Status: 201}
 }
@@ -104,12 +112,12 @@
 
 func newPair(tb testing.TB) *pair {
 	tb.Helper()
-	p := &pair{handler: &fakeHandler{verified: make(chan entry.Verification, 1), pulled: make(chan instance.Revision, 1)}}
+	p := &pair{handler: &fakeHandler{returned: make(chan string, 1), counts: make(chan []quota.Count, 1), verified: make(chan entry.Verification, 1), pulled: make(chan instance.Revision, 1)}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(tb, err)
 	p.peer = entry.Peer{Name: "entry-b", Address: listener.Addr().(*net.TCPAddr).AddrPort()}
 	tracer := noop.NewTracerProvider().Tracer("")
-	server := &Server{Handler: p.handler, Log: zap.NewNop(), Tracer: tracer, Clock: time.Now, MaxSessions: 1000}
+	server := &Server{Handler: p.handler, Quota: p.handler, Log: zap.NewNop(), Tracer: tracer, Clock: time.Now, MaxSessions: 1000}
 	ctx, cancel := context.WithCancel(context.Background())
 	var served sync.WaitGroup
 	served.Go(func() { _ = server.Serve(ctx, listener) })
@@ -156,9 +164,13 @@
 	must.NoError(t, err)
 	must.Eq(t, 3, version)
 	must.Eq(t, "rules", text)
-	granted, _, err := p.client.TakeTokens(ctx, p.peer, "agencies", 5)
+	grant, err := p.client.TakeTokens(ctx, p.peer, "agencies", 5)
 	must.NoError(t, err)
-	must.Eq(t, 2, granted)
+	must.Eq(t, limit.Grant{Tokens: 2}, grant)
+	must.NoError(t, p.client.ReturnTokens(ctx, p.peer, "agencies", 1))
+	must.Eq(t, "agencies", <-p.handler.returned)
+	must.NoError(t, p.client.SendCounts(ctx, p.peer, []quota.Count{{Team: "agencies", Used: 7.5}}))
+	must.Eq(t, []quota.Count{{Team: "agencies", Used: 7.5}}, <-p.handler.counts)
 	must.NoError(t, p.client.NotifyLeaving(ctx, p.peer))
 	verification := entry.Verification{
 		Slice: home.Slice{Service: "balances", Index: 2}, Server: "balances-1", Attempt: 7, Control: 8, Fingerprint: 9,
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -92,6 +92,20 @@
 	return home, standby
 }
 
+// Ranked returns the indices of up to count candidates in rank order.
+func Ranked(slice Slice, candidates []Candidate, count int) []int {
+	key := slice.Key()
+	var chosen []int
+	for len(chosen) < count {
+		next := highestRanked(key, candidates, func(i int) bool { return !slices.Contains(chosen, i) })
+		if next < 0 {
+			break
+		}
+		chosen = append(chosen, next)
+	}
+	return chosen
+}
+
 // Watchers returns up to count instances of a failure domain, in rank order, that watch the platform's lists on behalf of the
 // domain's other instances.
 func Watchers(candidates []Candidate, domain string, count int) []instance.Entry {
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -1,4 +1,8 @@
-// Package limit implements the rate limits of teams with token buckets.
+// Package limit decides which requests of a team pass when many instances serve the team together.
+//
+// One instance counts a team's requests; the others fetch tokens from it, as many as they need for a moment, and give back
+// what they did not use. It answers the load of thousands of teams with less than a request per second at each instance, of
+// which a few press several times their limit, while instances fail, restart and lose contact with each other.
 package limit
 
 import (
@@ -6,75 +10,229 @@
 	"time"
 )
 
-// Size and lifetime of batches of tokens.
+// Tolerance is how far a limit may be exceeded over all instances. The zero value allows nothing beyond the limit.
+type Tolerance struct {
+	Window    time.Duration // over which requests are counted
+	Overshoot float64       // fraction of the limit
+	Slack     float64       // requests in each window
+}
+
+// Shares of the tolerance. What is left covers requests that are admitted while the count is not known.
 const (
-	batchInterval = 100 * time.Millisecond // a batch holds at most the tokens of this interval, but at least one
-	tokenTTL      = time.Second            // lifetime of unused tokens
+	servingOvershoot = 0.5  // of the overshoot, added to the limit that a counter admits
+	servingSlack     = 0.25 // of the slack, added to the burst that a counter admits
+	takeoverShare    = 0.5  // of the reserve, that a counter without a history may admit at once
+	actingShare      = 0.25 // of the reserve, that an instance acting for a silent counter may admit at once
+	actingRate       = 0.25 // of the limit's rate, that an instance acting for a silent counter may admit
+	aloneShare       = 0.25 // of the reserve, divided among all instances, for those that reach no counter
+	aloneRate        = 0.25 // of the limit's rate, divided among all instances, for those that reach no counter
 )
 
-// Bucket is a token bucket that holds the tokens of one second. The zero value is full. A Bucket is not safe for concurrent use.
-type Bucket struct {
-	used       float64 // tokens taken and not yet refilled
-	refilledAt time.Time
+// Serving returns the limit that a counter admits: a caller within the limit is not refused because instances see its requests
+// in another order, or because some tokens expire unused.
+func (tolerance Tolerance) Serving(limit Limit) Limit {
+	factor := 1 + servingOvershoot*tolerance.Overshoot
+	return Limit{Rate: factor * limit.Rate, Burst: factor*limit.capacity() + servingSlack*tolerance.Slack}
+}
+
+// reserve returns how many requests in a window may be admitted beyond those that the counter admits.
+func (tolerance Tolerance) reserve(limit Limit) float64 {
+	inWindow := limit.Rate*tolerance.Window.Seconds() + limit.capacity()
+	return (1-servingOvershoot)*tolerance.Overshoot*inWindow + (1-servingSlack)*tolerance.Slack
+}
+
+// alone returns the limit of one of a number of instances while it reaches no counter.
+func (tolerance Tolerance) alone(limit Limit, instances int) Limit {
+	share := 1 / float64(max(1, instances))
+	return Limit{Rate: aloneRate * share * limit.Rate, Burst: aloneShare * share * tolerance.reserve(limit)}
+}
+
+// Grant is a counter's answer to a request for tokens.
+type Grant struct {
+	Tokens  int
+	NextAt  time.Time // of the next token, if there are none now
+	RetryAt time.Time // when a refused caller should come back; later for each further one
+}
+
+// Counter counts the requests of one team over all instances. The zero value has no history of the team. A Counter is not safe
+// for concurrent use.
+type Counter struct {
+	bucket  Bucket
+	acting  Bucket // while acting for a counter that is silent
+	started bool
+	retryAt time.Time // given to the latest refused caller
 }
 
-// Take takes up to want tokens from a bucket refilled at rate tokens per second, and returns the number taken.
-// If there are none, it returns the time of the next token. A rate of 0 or less means no limit.
-func (bucket *Bucket) Take(now time.Time, rate float64, want int) (int, time.Time) {
-	if rate <= 0 {
-		return want, time.Time{}
+// start empties the bucket of a counter without a history: the previous counter may have admitted a burst a moment ago.
+func (counter *Counter) start(now time.Time, limit Limit, tolerance Tolerance) {
+	if counter.started {
+		return
 	}
-	if elapsed := now.Sub(bucket.refilledAt); elapsed > 0 {
-		bucket.used = max(0, bucket.used-elapsed.Seconds()*rate)
-		bucket.refilledAt = now
+	counter.started = true
+	serving := tolerance.Serving(limit)
+	counter.bucket.spend(now, serving, max(1, takeoverShare*tolerance.reserve(limit)))
+}
+
+// Take takes up to want tokens. A provisional counter acts for another one that may be counting out of its sight, and admits
+// only what the tolerance leaves.
+func (counter *Counter) Take(now time.Time, limit Limit, tolerance Tolerance, provisional bool, want int) Grant {
+	if limit.Rate <= 0 {
+		return Grant{Tokens: want}
+	}
+	counter.start(now, limit, tolerance)
+	grant := Grant{}
+	if provisional {
+		acting := Limit{Rate: actingRate * limit.Rate, Burst: actingShare * tolerance.reserve(limit)}
+		grant.Tokens, grant.NextAt = counter.acting.Take(now, acting, want)
+	} else {
+		grant.Tokens, grant.NextAt = counter.bucket.Take(now, tolerance.Serving(limit), want)
 	}
-	available := int(math.Floor(max(1, rate) - bucket.used))
-	if available < 1 {
-		missing := 1 - (max(1, rate) - bucket.used)
-		return 0, now.Add(time.Duration(missing / rate * float64(time.Second)))
+	if grant.Tokens == 0 {
+		grant.RetryAt = counter.stagger(now, grant.NextAt, limit, tolerance)
+	}
+	return grant
+}
+
+// stagger returns when a refused caller should come back: at the rate of the limit, one caller after the other, so that they
+// do not all return for the same token. It starts over when the last one would wait for longer than a window.
+func (counter *Counter) stagger(now, nextAt time.Time, limit Limit, tolerance Tolerance) time.Time {
+	counter.retryAt = counter.retryAt.Add(time.Duration(float64(time.Second) / limit.Rate))
+	if counter.retryAt.Before(nextAt) || counter.retryAt.Sub(now) > tolerance.Window {
+		counter.retryAt = nextAt
 	}
-	taken := min(want, available)
-	bucket.used += float64(taken)
-	return taken, time.Time{}
+	return counter.retryAt
+}
+
+// Return gives back tokens of requests that were not run.
+func (counter *Counter) Return(tokens int) { counter.bucket.Return(tokens) }
+
+// Used returns how many tokens are taken and not yet refilled, and whether they are most of a burst: then a successor without
+// them would admit too much.
+func (counter *Counter) Used(now time.Time, limit Limit, tolerance Tolerance) (used float64, pressing bool) {
+	serving := tolerance.Serving(limit)
+	counter.bucket.refill(now, serving)
+	return counter.bucket.used, counter.bucket.used > serving.capacity()/2
+}
+
+// Inherit applies the count of another counter of the team.
+func (counter *Counter) Inherit(now time.Time, limit Limit, tolerance Tolerance, used float64) {
+	serving := tolerance.Serving(limit)
+	counter.bucket.spend(now, serving, serving.capacity()-used)
+	counter.started = true
+}
+
+// Acting records for how long an instance has been asked to count a team in place of another instance. The zero value means not at all.
+type Acting struct {
+	since, latest time.Time
 }
 
-// BatchSize returns how many tokens each of a number of instances fetches at once, for a rate in tokens per second.
-func BatchSize(rate float64, instances int) int {
-	size := rate * batchInterval.Seconds() / float64(max(1, instances))
-	return max(1, int(size))
+// Delays of a takeover.
+const (
+	takeoverDelay = time.Second     // silence of a counter after which another one may take over
+	actingTTL     = 3 * time.Second // without requests for tokens after which an instance no longer acts
+)
+
+// Confirmed records a request for tokens, and reports whether the instance may count in full. It may if the counter has been
+// silent for a while, and the platform has been heard of since: an instance on the smaller side of a network partition has no
+// contact with it.
+func (acting *Acting) Confirmed(now, platformHeardAt time.Time) bool {
+	if now.Sub(acting.latest) > actingTTL {
+		acting.since = now
+	}
+	acting.latest = now
+	return now.Sub(acting.since) >= takeoverDelay && platformHeardAt.Sub(acting.since) >= takeoverDelay/2
 }
 
-// TokenCache holds tokens fetched from a bucket on another instance. The zero value is empty. A TokenCache is not safe for
+// Reset records that the counter has answered.
+func (acting *Acting) Reset() { *acting = Acting{} }
+
+// Batches of tokens.
+const (
+	batchInterval = 100 * time.Millisecond // a batch holds the tokens for this time at the instance's recent rate
+	maxBatch      = 64
+	tokenTTL      = time.Second // lifetime of unused tokens
+	rateWeight    = 0.2         // of the latest interval in the moving average of intervals between requests
+)
+
+// Cache holds the tokens that an instance has fetched for one team. The zero value is empty. A Cache is not safe for
 // concurrent use.
-type TokenCache struct {
+type Cache struct {
 	tokens    int
-	expiresAt time.Time // expiry of the tokens
-	retryAt   time.Time // the bucket has no tokens before this time
+	expiresAt time.Time
+	refusal   Grant // the latest one without tokens
+	alone     Bucket
+	isAlone   bool
+	latest    time.Time     // latest request
+	interval  time.Duration // mean time between requests, 0 if unknown
+}
+
+// Take takes a token for a request. If decided is false, the cache is empty and must be filled first.
+func (cache *Cache) Take(now time.Time) (admitted, decided bool, retryAt time.Time) {
+	cache.observe(now)
+	if cache.tokens > 0 && now.Before(cache.expiresAt) {
+		cache.tokens--
+		return true, true, time.Time{}
+	}
+	cache.tokens = 0
+	if now.Before(cache.refusal.NextAt) {
+		return false, true, cache.refusal.RetryAt
+	}
+	return false, false, time.Time{}
 }
 
-// Add adds fetched tokens and records when to fetch again if there were none.
-func (tokenCache *TokenCache) Add(now time.Time, tokens int, retryAt time.Time) {
-	tokenCache.dropExpired(now)
-	tokenCache.tokens += tokens
-	tokenCache.expiresAt = now.Add(tokenTTL)
-	tokenCache.retryAt = retryAt
+// observe updates the mean time between requests.
+func (cache *Cache) observe(now time.Time) {
+	if gap := now.Sub(cache.latest); !cache.latest.IsZero() && cache.interval > 0 {
+		cache.interval += time.Duration(rateWeight * float64(gap-cache.interval))
+	} else if !cache.latest.IsZero() {
+		cache.interval = gap
+	}
+	cache.latest = now
 }
 
-// Take takes a token. If decided is false, the cache is empty and the caller must fetch tokens from the bucket.
-func (tokenCache *TokenCache) Take(now time.Time) (retryAt time.Time, decided, admitted bool) {
-	tokenCache.dropExpired(now)
-	if tokenCache.tokens > 0 {
-		tokenCache.tokens--
-		return time.Time{}, true, true
+// Want returns how many tokens to fetch, the one for the present request included.
+func (cache *Cache) Want() int {
+	if cache.interval <= 0 {
+		return 1
 	}
-	if now.Before(tokenCache.retryAt) {
-		return tokenCache.retryAt, true, false
+	return 1 + min(maxBatch, int(batchInterval/cache.interval))
+}
+
+// Fill adds fetched tokens and takes one of them for a request.
+func (cache *Cache) Fill(now time.Time, grant Grant) (admitted bool, retryAt time.Time) {
+	cache.isAlone = false
+	if grant.Tokens == 0 {
+		cache.refusal = grant
+		return false, grant.RetryAt
 	}
-	return time.Time{}, false, false
+	if cache.tokens == 0 || !now.Before(cache.expiresAt) {
+		// Tokens of two requests in flight at once expire with the earlier ones.
+		cache.tokens, cache.expiresAt = 0, now.Add(tokenTTL)
+	}
+	cache.tokens += grant.Tokens - 1
+	return true, time.Time{}
 }
 
-func (tokenCache *TokenCache) dropExpired(now time.Time) {
-	if !now.Before(tokenCache.expiresAt) {
-		tokenCache.tokens = 0
+// TakeAlone decides a request while no counter answers. The point, drawn evenly from [0, 1), spreads the fractions of tokens
+// that the instances have at the start.
+func (cache *Cache) TakeAlone(now time.Time, limit Limit, tolerance Tolerance, instances int, point float64) bool {
+	own := tolerance.alone(limit, instances)
+	capacity := own.Burst
+	own.Burst = math.Max(1, capacity)
+	if !cache.isAlone {
+		cache.isAlone = true
+		level := min(capacity, 1)
+		if point < level {
+			level = 1
+		} else {
+			level = 0
+		}
+		cache.alone = Bucket{}
+		cache.alone.spend(now, own, max(level, math.Floor(capacity)))
 	}
+	taken, _ := cache.alone.Take(now, own, 1)
+	return taken > 0
 }
+
+// Idle returns the time since the latest request.
+func (cache *Cache) Idle(now time.Time) time.Duration { return now.Sub(cache.latest) }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -269,7 +269,7 @@
 		}
 	}
 	if ask.Number <= 1 {
-		if granted, retryAt := pool.rate.Take(now, pool.policy.Limit, 1); granted == 0 {
+		if granted, retryAt := pool.rate.Take(now, limit.Limit{Rate: pool.policy.Limit}, 1); granted == 0 {
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
 		}
 		pool.lossMonitor.recordArrival(now)
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -51,6 +51,8 @@
 	ReasonNoRules      Reason = "no-rules-yet"
 	ReasonBodyTooLarge Reason = "body-too-large"
 	ReasonStopping     Reason = "instance-stopping"
+	ReasonKeyUnknown   Reason = "key-unknown"
+	ReasonLimitUnknown Reason = "limit-unknown"
 )
 
 // Answer is a final response that sequoiaspan generates itself.
@@ -197,6 +199,16 @@
 	return request.finish(reason, now.Add(failureRetryAfter))
 }
 
+// Denied returns the action for an attempt that the rules no longer allow. It waits for attempts that are under way.
+func (request *Request) Denied(reason Reason) Action {
+	request.pending--
+	request.unsent++
+	if request.pending > 0 {
+		return Action{Step: Wait}
+	}
+	return request.finish(reason, time.Time{})
+}
+
 // countedAttempts returns the number of attempts that count towards MaxAttempts: those that servers may have executed.
 func (request *Request) countedAttempts() int {
 	return request.requested - request.unsent - request.refused
--- a/core/rules/options.go
+++ b/core/rules/options.go
@@ -79,6 +79,31 @@
 	return true
 }
 
+func (parser *parser) parseBurst(o option, out *float64) bool {
+	n, err := strconv.ParseFloat(o.value, 64)
+	if err != nil || !(n >= 1 && n <= maxLimit) {
+		return parser.failInvalid(o, "write a number of requests, at least 1")
+	}
+	*out = n
+	return true
+}
+
+func (parser *parser) parseAccess(o option, out *bool) bool {
+	if o.value != "public" {
+		return parser.failInvalid(o, "write access=public for requests without a key, or omit the option")
+	}
+	*out = true
+	return true
+}
+
+func (parser *parser) parseKeysRequired(o option, out *bool) bool {
+	if o.value != "required" {
+		return parser.failInvalid(o, "write keys=required, or omit the option")
+	}
+	*out = true
+	return true
+}
+
 func (parser *parser) parseDuration(o option, out *time.Duration) bool {
 	d, err := time.ParseDuration(o.value)
 	if err != nil || d < time.Millisecond || d > maxDeadline {
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -58,7 +58,8 @@
 		services: map[string]*Service{},
 		hosts:    map[string]*hostRoutes{},
 		teams:    map[string]*Team{},
-	}}
+		keys:     map[Digest]*Team{},
+	}, keys: map[Digest]key{}}
 	for i, line := range strings.Split(text, "\n") {
 		parser.parseLine(i+1, strings.TrimSuffix(line, "\r"))
 	}
@@ -80,6 +81,7 @@
 	line int
 	errs []error
 	set  *Set
+	keys map[Digest]key
 }
 
 func (parser *parser) fail(kind Kind, column int, reason, fix string) {
@@ -108,10 +110,12 @@
 		parser.parseRoute(words, requestedBy)
 	case "team":
 		parser.parseTeam(words, requestedBy)
+	case "key":
+		parser.parseKey(words)
 	case "callers":
 		parser.parseCallers(words, requestedBy)
 	default:
-		parser.fail(KindSyntax, words[0].column, fmt.Sprintf("unknown rule %q", words[0].text), "begin the line with service, route, team or callers")
+		parser.fail(KindSyntax, words[0].column, fmt.Sprintf("unknown rule %q", words[0].text), "begin the line with service, route, team, key or callers")
 	}
 }
 
@@ -191,6 +195,7 @@
 		"match":      func(o option) bool { return parser.parseMatch(o, &route.SubpathsOnly) },
 		"methods":    func(o option) bool { return parser.parseMethods(o, &route.Methods) },
 		"repeatable": func(o option) bool { return parser.parseIdempotency(o, &route.Idempotency) },
+		"access":     func(o option) bool { return parser.parseAccess(o, &route.Public) },
 		"answers":    func(o option) bool { return parser.parseResponseSize(o, &route.Large) },
 		"attempts":   func(o option) bool { return parser.parseCount(o, maxAttempts, &route.MaxAttempts) },
 		"priority":   func(o option) bool { return parser.parsePriority(o, &route.Priority) },
@@ -252,11 +257,17 @@
 	name, ok := parser.parseName(words, "team")
 	team.Name = name
 	ok = parser.parseOptions(words, optionParsers{
-		"limit": func(o option) bool { return parser.parseRate(o, &team.RateLimit) },
+		"limit":    func(o option) bool { return parser.parseRate(o, &team.RateLimit) },
+		"burst":    func(o option) bool { return parser.parseBurst(o, &team.Burst) },
+		"priority": func(o option) bool { team.Priority = new(int); return parser.parsePriority(o, team.Priority) },
 	}) && ok
 	if !ok {
 		return
 	}
+	if team.Burst > 0 && team.RateLimit == 0 {
+		parser.fail(KindSyntax, words[0].column, "the team has a burst without a limit", "add limit=RATE/s or remove burst")
+		return
+	}
 	if previous := parser.set.teams[name]; previous != nil {
 		parser.failDuplicate(words[1].column, "team "+name, previous.Line)
 		return
@@ -274,6 +285,7 @@
 		"body-bytes":   func(o option) bool { return parser.parseCount(o, maxBodyBytes, &bodyBytes) },
 		"header-time":  func(o option) bool { return parser.parseDuration(o, &callerLimits.HeaderTimeout) },
 		"idle-time":    func(o option) bool { return parser.parseDuration(o, &callerLimits.IdleTimeout) },
+		"keys":         func(o option) bool { return parser.parseKeysRequired(o, &callerLimits.KeysRequired) },
 	})
 	if !ok {
 		return
@@ -294,6 +306,7 @@
 			}
 		}
 	}
+	parser.resolveKeys()
 	slices.SortStableFunc(parser.errs, func(a, b error) int { return errorLine(a) - errorLine(b) })
 }
 
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -96,6 +96,7 @@
 	Split         []WeightedService // services that share the route's requests by weight
 	Idempotency   Idempotency
 	Large         bool          // responses have tens of kilobytes or more
+	Public        bool          // requests need no key
 	MaxAttempts   int           // attempts per request, 0 for the service's limit
 	Priority      int           // 0 is the most urgent when slots are scarce
 	TargetLatency time.Duration // latency above which a response loses value for callers, 0 if the rule sets none
@@ -108,6 +109,8 @@
 type Team struct {
 	Name        string
 	RateLimit   float64 // requests per second, 0 for none
+	Burst       float64 // requests beyond the rate at once, 0 for those of one second
+	Priority    *int    // takes precedence over the route's priority; nil to keep that
 	RequestedBy string
 	Line        int
 }
@@ -119,6 +122,7 @@
 	MaxBodyBytes   int64
 	HeaderTimeout  time.Duration // longest time to send a request's header
 	IdleTimeout    time.Duration // longest time that a connection stays open without a request
+	KeysRequired   bool          // requests need a team's key even if no rule lists one
 	RequestedBy    string
 	Line           int
 }
@@ -128,6 +132,7 @@
 	services     map[string]*Service
 	hosts        map[string]*hostRoutes // by host name; the empty name applies to all hosts
 	teams        map[string]*Team
+	keys         map[Digest]*Team
 	callerLimits *CallerLimits
 }
 
@@ -157,7 +162,7 @@
 
 // Len returns the number of rules.
 func (set *Set) Len() int {
-	n := len(set.services) + len(set.teams)
+	n := len(set.services) + len(set.teams) + len(set.keys)
 	for _, host := range set.hosts {
 		for _, routes := range host.routes {
 			n += len(routes)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,8 +28,10 @@
 	store "github.com/sequoiaspan/sequoiaspan/adapters/store/http"
 	"github.com/sequoiaspan/sequoiaspan/configuration"
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
+	"github.com/sequoiaspan/sequoiaspan/core/limit"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/quota"
 	"github.com/sequoiaspan/sequoiaspan/settings"
 	"github.com/sequoiaspan/sequoiaspan/trace"
 )
@@ -95,6 +97,7 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	entry   *entry.Entry
+	quotas  *quota.Keeper
 	client  *yamux.Client
 	backend *backend.Backend
 }
@@ -201,6 +204,10 @@
 		Versions: daemon.entry.Versions, OnVersions: daemon.entry.HandleVersions, InitialRenewal: daemon.entry.Greeting,
 	}
 	daemon.entry.Peers = daemon.client
+	daemon.quotas = &quota.Keeper{
+		Name: s.Name, Fleet: daemon.entry, Link: daemon.client, Clock: time.Now, Log: daemon.Log, Metrics: registry,
+		Tolerance: limit.Tolerance{Window: time.Duration(s.Quotas.Window), Overshoot: s.Quotas.Overshoot, Slack: s.Quotas.Slack},
+	}
 	daemon.entry.Init()
 }
 
@@ -215,7 +222,8 @@
 		group.Add(func() error { return f(partCtx) }, func(error) { cancel() })
 	}
 	add(func(partCtx context.Context) error { return daemon.entry.Run(partCtx) })
-	peers := &yamux.Server{Handler: daemon.entry, Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now, MaxSessions: s.Limits.MaxPeerSessions}
+	add(daemon.quotas.Run)
+	peers := &yamux.Server{Handler: daemon.entry, Quota: daemon.quotas, Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now, MaxSessions: s.Limits.MaxPeerSessions}
 	add(func(partCtx context.Context) error { return peers.Serve(partCtx, listeners.peer) })
 
 	operators := &operator.Handler{Status: daemon.entry.Status, Metrics: registry, Log: daemon.Log}
@@ -228,7 +236,7 @@
 		add(func(partCtx context.Context) error { return serveHTTP(partCtx, endpoints, listeners.directory) })
 	}
 	callers := &callerServer{entry: daemon.entry, limits: s.Limits, log: daemon.Log, handler: &caller.Handler{
-		Entry: daemon.entry, Backend: daemon.backend, Log: daemon.Log, Metrics: registry, Tracer: tracer.Tracer(),
+		Entry: daemon.entry, Quotas: daemon.quotas, Backend: daemon.backend, Log: daemon.Log, Metrics: registry, Tracer: tracer.Tracer(),
 		Dialect: daemon.Platform.Dialect, Clock: time.Now, Seed: s.JitterSeed,
 	}}
 	limited := netutil.LimitListener(listeners.caller, s.Limits.MaxCallerConnections)
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -30,8 +30,10 @@
 type RequestInfo struct {
 	ID       string    // empty if the caller sent none
 	Deadline time.Time // zero for none
-	Team     string
-	Key      string // idempotency key
+	// Team is the team that the caller claims to be. It is replaced by the team of the caller's key where the rules require keys.
+	Team           string
+	Credential     Credential
+	IdempotencyKey string
 }
 
 // Attempt is the metadata that a backend server receives with an attempt.
@@ -39,6 +41,22 @@
 	Now      time.Time
 	Deadline time.Time
 	Server   string // that the attempt is addressed to, empty if unknown
+	// KeysRequired is set where callers are identified by their keys: Team replaces any team that the caller claims, and the key
+	// is removed.
+	KeysRequired bool
+	Team         string
+}
+
+// IdentifyTeam replaces the team in a header of an attempt, and removes the caller's key, if the rules require keys.
+func (attempt *Attempt) IdentifyTeam(header http.Header, teamHeader string) {
+	if !attempt.KeysRequired {
+		return
+	}
+	removeCredential(header)
+	header.Del(teamHeader)
+	if attempt.Team != "" {
+		header.Set(teamHeader, attempt.Team)
+	}
 }
 
 // ResponseInfo is the metadata of a backend server's response to an attempt.
--- a/dialect/native.go
+++ b/dialect/native.go
@@ -19,16 +19,23 @@
 	StateHeader    = "Sequoiaspan-State" // a backend server reports with it that it is leaving
 	TeamHeader     = "Sequoiaspan-Team"
 	KeyHeader      = "Idempotency-Key"
+	// ChallengeHeader names the scheme of the Authorization header in an answer with status 401 (RFC 9110, section 11.6.1).
+	ChallengeHeader = "Www-Authenticate"
 
 	StateLeaving = "leaving"
 )
 
+// keyScheme is the scheme of the Authorization header with an API key (RFC 6750).
+const keyScheme = "Bearer"
+
 // statusByReason maps reasons to statuses.
 var statusByReason = map[retry.Reason]int{
 	retry.ReasonNoRoute:      http.StatusNotFound,
 	retry.ReasonBadRequest:   http.StatusBadRequest,
 	retry.ReasonBodyTooLarge: http.StatusRequestEntityTooLarge,
 	retry.ReasonNoRules:      http.StatusServiceUnavailable,
+	retry.ReasonKeyUnknown:   http.StatusUnauthorized,
+	retry.ReasonLimitUnknown: http.StatusServiceUnavailable,
 	retry.ReasonNoFreeSlot:   http.StatusServiceUnavailable,
 	retry.ReasonNoServer:     http.StatusServiceUnavailable,
 	retry.ReasonPaused:       http.StatusServiceUnavailable,
@@ -52,7 +59,8 @@
 
 // ParseRequest reads the request id (the trace id of Traceparent), the deadline (RFC 3339), the team and the idempotency key.
 func (Native) ParseRequest(_ time.Time, request *http.Request) (RequestInfo, error) {
-	info := RequestInfo{ID: traceID(request.Header.Get("Traceparent")), Team: request.Header.Get(TeamHeader), Key: request.Header.Get(KeyHeader)}
+	info := RequestInfo{ID: traceID(request.Header.Get("Traceparent")), Team: request.Header.Get(TeamHeader), IdempotencyKey: request.Header.Get(KeyHeader),
+		Credential: ParseCredential(request.Header, keyScheme)}
 	text := request.Header.Get(DeadlineHeader)
 	if text == "" {
 		return info, nil
@@ -76,6 +84,7 @@
 	for _, name := range []string{OutcomeHeader, ReasonHeader, StateHeader} {
 		header.Del(name)
 	}
+	attempt.IdentifyTeam(header, TeamHeader)
 	header.Set(DeadlineHeader, attempt.Deadline.UTC().Format(time.RFC3339Nano))
 }
 
@@ -98,7 +107,11 @@
 		seconds := math.Ceil(answer.RetryAt.Sub(now).Seconds())
 		header.Set("Retry-After", strconv.Itoa(max(1, int(seconds))))
 	}
-	return statusByReason[answer.Reason]
+	status := statusByReason[answer.Reason]
+	if status == http.StatusUnauthorized {
+		header.Set(ChallengeHeader, keyScheme)
+	}
+	return status
 }
 
 // IsHealthy checks only the status, as the servers of this dialect do not identify themselves.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,7 +40,6 @@
 	Settle(ctx context.Context, to Peer, settlement idempotency.Settlement) (bool, error)
 	Handover(ctx context.Context, to Peer, handover idempotency.Handover) (idempotency.HandoverReply, bool, error)
 	PullRules(ctx context.Context, to Peer, have uint64) (version uint64, text string, err error)
-	TakeTokens(ctx context.Context, to Peer, team string, want int) (granted int, retryAt time.Time, err error)
 	NotifyLeaving(ctx context.Context, to Peer) error
 	Verify(ctx context.Context, to Peer, verification Verification) error
 	// PullLists returns the changes to the lists since a revision. It waits until the lists or the rules change, at most for wait.
@@ -153,7 +152,6 @@
 	lists      lists
 	turns      roundRobin
 	notices    notices
-	limits     limits
 	leaving    atomic.Bool
 	stopping   atomic.Bool
 	// initialSyncDone is set after peers were asked at startup for what they know of servers, whether or not they answered.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"time"
-
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
@@ -115,11 +113,6 @@
 	return current.version, current.text
 }
 
-// HandleTakeTokens grants tokens of a team's rate limit to another instance.
-func (entry *Entry) HandleTakeTokens(team string, want int) (int, time.Time) {
-	return entry.limits.grant(entry.Clock(), entry.teamLimit(team), team, want)
-}
-
 // PeerNamed returns a listed instance's name and address.
 func (entry *Entry) PeerNamed(name string) (Peer, bool) {
 	other, listed := entry.members.plan().byName[name]
--- a/entry/members.go
+++ b/entry/members.go
@@ -40,6 +40,9 @@
 
 	placementsMu sync.RWMutex
 	placements   map[home.Slice]placement
+
+	countersMu sync.Mutex
+	counters   map[string][]Peer // by team, see Entry.Counters
 }
 
 // placement is the home of a slice and its standby; an instance without a name means none.
@@ -60,6 +63,7 @@
 		byName:     map[string]instance.Entry{},
 		servers:    map[string][]instance.Server{},
 		placements: map[home.Slice]placement{},
+		counters:   map[string][]Peer{},
 	}
 	for _, e := range entries {
 		p.byName[e.Name] = e
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,336 @@
+// Package quota enforces the rate limits of teams over all entry instances: it carries tokens and counts between them.
+//
+// To learn why a caller got 429, begin here: Admit decides, and core/limit has the figures.
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/sequoiaspan/sequoiaspan/core/limit"
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+// Fleet is what the quotas of this instance follow: the rules and the live instances.
+type Fleet interface {
+	// TeamLimit returns the limit of a team.
+	TeamLimit(team string) limit.Limit
+	// Counters returns up to count live instances in the order in which they count a team, and the number of live instances.
+	Counters(team string, count int) (ranked []entry.Peer, live int)
+	// PlatformHeardAt returns when the platform was last heard of, directly or through other instances.
+	PlatformHeardAt() time.Time
+}
+
+// Link sends messages about quotas to other instances.
+type Link interface {
+	TakeTokens(ctx context.Context, to entry.Peer, team string, want int) (limit.Grant, error)
+	ReturnTokens(ctx context.Context, to entry.Peer, team string, count int) error
+	SendCounts(ctx context.Context, to entry.Peer, counts []Count) error
+	// Reachable reports whether the peer answered recently or has not been tried.
+	Reachable(peer string) bool
+}
+
+// Count is the use of one team's limit.
+type Count struct {
+	Team string
+	Used float64 // tokens taken and not yet refilled
+}
+
+// Decision is the outcome of Admit.
+type Decision struct {
+	Admitted bool
+	Unknown  bool      // refused because no instance that counts the team answers; another instance may admit the request
+	RetryAt  time.Time // when the caller should come back, if refused
+	Limit    limit.Limit
+	// DecidedBy names the instance that counts the team, or this instance for cached tokens; empty if none answered.
+	DecidedBy string
+}
+
+// Enforcement parameters.
+const (
+	maxCounters      = 4                      // instances that are asked, one after the other, while the ones before are silent
+	probeInterval    = 200 * time.Millisecond // between probes of a counter in whose place this instance acts
+	countsInterval   = 500 * time.Millisecond // between messages with the counts of teams near their limit
+	unknownRetryTime = 100 * time.Millisecond // for callers that no counter could decide on
+	idleTTL          = time.Minute            // without requests after which a team's state is dropped
+	shardCount       = 32
+)
+
+// Keeper enforces the limits at one instance. Its exported fields must be set before use.
+type Keeper struct {
+	Name      string // of this instance
+	Fleet     Fleet
+	Link      Link
+	Tolerance limit.Tolerance
+	Clock     func() time.Time
+	Log       *zap.Logger
+	Metrics   metrics.Registry
+
+	shards [shardCount]shard
+}
+
+// shard holds the state of some of the teams.
+type shard struct {
+	mu     sync.Mutex
+	caches map[string]*limit.Cache
+	counts map[string]*count
+}
+
+// count is the state of a team that this instance counts.
+type count struct {
+	counter limit.Counter
+	acting  limit.Acting
+	probeAt time.Time // of the next probe of the instances ranked before this one
+	usedAt  time.Time
+}
+
+func (keeper *Keeper) shard(team string) *shard {
+	return &keeper.shards[xxhash.Sum64String(team)%shardCount]
+}
+
+// cache returns the cached tokens of a team. The caller holds the lock.
+func (shard *shard) cache(team string) *limit.Cache {
+	if shard.caches == nil {
+		shard.caches = map[string]*limit.Cache{}
+	}
+	cache := shard.caches[team]
+	if cache == nil {
+		cache = &limit.Cache{}
+		shard.caches[team] = cache
+	}
+	return cache
+}
+
+// count returns the state of a team that is counted here. The caller holds the lock.
+func (shard *shard) count(team string) *count {
+	if shard.counts == nil {
+		shard.counts = map[string]*count{}
+	}
+	c := shard.counts[team]
+	if c == nil {
+		c = &count{}
+		shard.counts[team] = c
+	}
+	return c
+}
+
+// Admit decides whether a request of a team is within the team's limit.
+//
+// Tokens at hand decide it at once. Otherwise the instance that counts the team is asked, and while it is silent the next
+// ones in rank; an instance that reaches none of them admits a small share of the limit.
+func (keeper *Keeper) Admit(ctx context.Context, team string) Decision {
+	rate := keeper.Fleet.TeamLimit(team)
+	if rate.Rate <= 0 {
+		return Decision{Admitted: true}
+	}
+	shard := keeper.shard(team)
+	shard.mu.Lock()
+	cache := shard.cache(team)
+	admitted, decided, retryAt := cache.Take(keeper.Clock())
+	want := cache.Want()
+	shard.mu.Unlock()
+	if decided {
+		keeper.record(admitted, "cached")
+		return Decision{Admitted: admitted, RetryAt: retryAt, Limit: rate, DecidedBy: keeper.Name}
+	}
+	ranked, live := keeper.Fleet.Counters(team, maxCounters)
+	for _, counter := range ranked {
+		grant, answered := keeper.take(ctx, counter, team, want)
+		if !answered {
+			continue
+		}
+		shard.mu.Lock()
+		admitted, retryAt = shard.cache(team).Fill(keeper.Clock(), grant)
+		shard.mu.Unlock()
+		keeper.record(admitted, "counted")
+		return Decision{Admitted: admitted, RetryAt: retryAt, Limit: rate, DecidedBy: counter.Name}
+	}
+	now := keeper.Clock()
+	shard.mu.Lock()
+	admitted = shard.cache(team).TakeAlone(now, rate, keeper.Tolerance, live, rand.Float64())
+	shard.mu.Unlock()
+	keeper.record(admitted, "alone")
+	return Decision{Admitted: admitted, Unknown: !admitted, RetryAt: now.Add(unknownRetryTime), Limit: rate}
+}
+
+// take takes tokens from the instance that counts a team, which may be this one. It returns false if it does not answer.
+func (keeper *Keeper) take(ctx context.Context, counter entry.Peer, team string, want int) (limit.Grant, bool) {
+	if counter.Name == keeper.Name {
+		return keeper.HandleTakeTokens(ctx, team, want), true
+	}
+	if !keeper.Link.Reachable(counter.Name) {
+		return limit.Grant{}, false
+	}
+	grant, err := keeper.Link.TakeTokens(ctx, counter, team, want)
+	if err != nil {
+		keeper.Log.Debug("quota: the instance that counts a team did not answer", zap.String("team", team), zap.String("instance", counter.Name), zap.Error(err))
+		return limit.Grant{}, false
+	}
+	return grant, true
+}
+
+// Return gives back the token of a request that was not run.
+func (keeper *Keeper) Return(team string) {
+	if keeper.Fleet.TeamLimit(team).Rate <= 0 {
+		return
+	}
+	keeper.increment("quota.returned")
+	ranked, _ := keeper.Fleet.Counters(team, maxCounters)
+	for _, counter := range ranked {
+		if counter.Name == keeper.Name {
+			keeper.HandleReturnTokens(team, 1)
+			return
+		}
+		if keeper.Link.Reachable(counter.Name) {
+			// A lost token is refilled at the limit's rate.
+			_ = keeper.Link.ReturnTokens(context.Background(), counter, team, 1)
+			return
+		}
+	}
+}
+
+// HandleTakeTokens grants tokens of a team's limit to another instance, or to this one.
+func (keeper *Keeper) HandleTakeTokens(ctx context.Context, team string, want int) limit.Grant {
+	ranked, _ := keeper.Fleet.Counters(team, maxCounters)
+	now := keeper.Clock()
+	rate := keeper.Fleet.TeamLimit(team)
+	heardAt := keeper.Fleet.PlatformHeardAt()
+	shard := keeper.shard(team)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	c := shard.count(team)
+	c.usedAt = now
+	provisional := len(ranked) == 0 || ranked[0].Name != keeper.Name
+	if provisional {
+		provisional = !c.acting.Confirmed(now, heardAt)
+		if !now.Before(c.probeAt) {
+			c.probeAt = now.Add(probeInterval)
+			go keeper.probe(context.WithoutCancel(ctx), ranked, team)
+		}
+	}
+	return c.counter.Take(now, rate, keeper.Tolerance, provisional, want)
+}
+
+// probe asks the instances that are ranked before this one for no tokens. If one answers, this instance need not act for it.
+func (keeper *Keeper) probe(ctx context.Context, ranked []entry.Peer, team string) {
+	for _, counter := range ranked {
+		if counter.Name == keeper.Name {
+			return
+		}
+		if _, err := keeper.Link.TakeTokens(ctx, counter, team, 0); err != nil {
+			continue
+		}
+		shard := keeper.shard(team)
+		shard.mu.Lock()
+		shard.count(team).acting.Reset()
+		shard.mu.Unlock()
+		return
+	}
+}
+
+// HandleReturnTokens takes back tokens of requests that were not run.
+func (keeper *Keeper) HandleReturnTokens(team string, tokens int) {
+	shard := keeper.shard(team)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.count(team).counter.Return(tokens)
+}
+
+// HandleCounts applies counts of another instance.
+func (keeper *Keeper) HandleCounts(counts []Count) {
+	now := keeper.Clock()
+	for _, received := range counts {
+		rate := keeper.Fleet.TeamLimit(received.Team)
+		if rate.Rate <= 0 {
+			continue
+		}
+		shard := keeper.shard(received.Team)
+		shard.mu.Lock()
+		c := shard.count(received.Team)
+		c.counter.Inherit(now, rate, keeper.Tolerance, received.Used)
+		c.usedAt = now
+		shard.mu.Unlock()
+	}
+}
+
+// Run sends the counts of teams near their limit to the instances that would count them next, until the context ends.
+func (keeper *Keeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(countsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			keeper.sendCounts(ctx)
+		}
+	}
+}
+
+// sendCounts sends the counts of teams that this instance counted a moment ago and that are near their limit.
+func (keeper *Keeper) sendCounts(ctx context.Context) {
+	now := keeper.Clock()
+	byPeer := map[entry.Peer][]Count{}
+	for i := range keeper.shards {
+		shard := &keeper.shards[i]
+		for _, counted := range keeper.pressing(now, shard) {
+			ranked, _ := keeper.Fleet.Counters(counted.Team, 2)
+			for _, other := range ranked {
+				if other.Name != keeper.Name && keeper.Link.Reachable(other.Name) {
+					byPeer[other] = append(byPeer[other], counted)
+				}
+			}
+		}
+	}
+	for peer, counts := range byPeer {
+		if err := keeper.Link.SendCounts(ctx, peer, counts); err != nil {
+			keeper.Log.Debug("quota: counts could not be sent", zap.String("instance", peer.Name), zap.Error(err))
+		}
+	}
+}
+
+// pressing returns the counts of a shard's teams that are near their limit, and drops the state of idle teams.
+func (keeper *Keeper) pressing(now time.Time, shard *shard) []Count {
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	var counts []Count
+	for team, c := range shard.counts {
+		idle := now.Sub(c.usedAt)
+		if idle > idleTTL {
+			delete(shard.counts, team)
+			continue
+		}
+		rate := keeper.Fleet.TeamLimit(team)
+		if idle > 2*countsInterval || rate.Rate <= 0 {
+			continue
+		}
+		if used, pressing := c.counter.Used(now, rate, keeper.Tolerance); pressing {
+			counts = append(counts, Count{team, used})
+		}
+	}
+	for team, cache := range shard.caches {
+		if cache.Idle(now) > idleTTL {
+			delete(shard.caches, team)
+		}
+	}
+	return counts
+}
+
+// record counts a decision by its source.
+func (keeper *Keeper) record(admitted bool, source string) {
+	outcome := "refused"
+	if admitted {
+		outcome = "admitted"
+	}
+	keeper.increment("quota.decisions{outcome=" + outcome + ",by=" + source + "}")
+}
+
+func (keeper *Keeper) increment(name string) {
+	metrics.GetOrRegisterCounter(name, keeper.Metrics).Inc(1)
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -110,6 +110,22 @@
 	}
 }
 
+// Limits of the quota window.
+const (
+	minQuotaWindow = time.Second
+	maxQuotaWindow = time.Hour
+)
+
+func (settings *Settings) checkQuotas(c *checker) {
+	c.checkDuration("window", settings.Quotas.Window, minQuotaWindow, maxQuotaWindow)
+	if !(settings.Quotas.Overshoot >= 0 && settings.Quotas.Overshoot <= 1) {
+		c.fail("overshoot", "use a fraction of the limit from 0 to 1")
+	}
+	if !(settings.Quotas.Slack >= 0) {
+		c.fail("slack", "use a number of requests, 0 or more")
+	}
+}
+
 // checkService checks the settings for shutdown, directory answers, retries and the floor.
 func (settings *Settings) checkService(c *checker) {
 	if settings.Grace != 0 {
@@ -123,6 +139,7 @@
 	if !(settings.Retries.Burst >= 0) {
 		c.fail("burst", "use a number of attempts, 0 or more")
 	}
+	settings.checkQuotas(c)
 	if !(settings.Floor >= 0 && settings.Floor <= 1) {
 		c.fail("floor", "use a share of the healthy capacity from 0 to 1")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,7 @@
 	ProcessorCores float64          `toml:"processor-cores"` // CPU time available to the instance, in cores; 0 if unknown
 	Callers        Callers          `toml:"callers"`
 	Retries        Retries          `toml:"retries"`
+	Quotas         Quotas           `toml:"quotas"`
 	Floor          float64          `toml:"floor"`
 	DecideLocally  bool             `toml:"decide-alone"` // make local decisions only, without homes; for benchmarks
 }
@@ -70,6 +71,14 @@
 	Burst float64 `toml:"burst"`
 }
 
+// Quotas is how far the limit of a team may be exceeded over all instances: in any window, by this fraction of the limit plus a
+// number of requests. Instances use it to admit requests while they cannot count them together.
+type Quotas struct {
+	Window    Duration `toml:"window"`
+	Overshoot float64  `toml:"overshoot"`
+	Slack     float64  `toml:"slack"`
+}
+
 // Limits bounds the resources that callers and peers use.
 type Limits struct {
 	MaxHeaderBytes       int      `toml:"header-bytes"`
@@ -149,6 +158,7 @@
 		Traces: Traces{Exporter: "off"}, Platform: PlatformHTTP, Floor: rules.DefaultFloor,
 		Callers: Callers{AnswerTTL: Duration(5 * time.Second), MaxAddresses: 8},
 		Retries: Retries{Share: 0.2, Burst: 44},
+		Quotas:  Quotas{Window: Duration(5 * time.Second)},
 	}
 }
 
