Hold a team's limit through takeovers of its count and through network partitions

Change: an instance counts in full in another's place after a second of silence if the platform was heard of meanwhile; the first in rank counts provisionally while neither the platform nor its successors answer; standing in is bounded by a share of the reserve per window.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -21,11 +21,11 @@
 const (
 	servingOvershoot = 0.5  // of the overshoot, added to the limit that a counter admits
 	servingSlack     = 0.25 // of the slack, added to the burst that a counter admits
-	takeoverShare    = 0.5  // of the reserve, that a counter without a history may admit at once
-	actingShare      = 0.25 // of the reserve, that an instance acting for a silent counter may admit at once
-	actingRate       = 0.25 // of the limit's rate, that an instance acting for a silent counter may admit
-	aloneShare       = 0.25 // of the reserve, divided among all instances, for those that reach no counter
-	aloneRate        = 0.25 // of the limit's rate, divided among all instances, for those that reach no counter
+	takeoverShare    = 0.4  // of the reserve, that a counter without a history may admit at once
+	actingShare      = 0.3  // of the reserve, that an instance in place of a silent counter may admit at once
+	actingRefill     = 0.15 // of the reserve, that it may admit in each window after that
+	aloneShare       = 0.1  // of the reserve, divided among all instances, that those which reach no counter may admit at once
+	aloneRefill      = 0.1  // of the reserve, divided among all instances, that they may admit in each window after that
 )
 
 // Serving returns the limit that a counter admits: a caller within the limit is not refused because instances see its requests
@@ -43,8 +43,14 @@
 
 // alone returns the limit of one of a number of instances while it reaches no counter.
 func (tolerance Tolerance) alone(limit Limit, instances int) Limit {
-	share := 1 / float64(max(1, instances))
-	return Limit{Rate: aloneRate * share * limit.Rate, Burst: aloneShare * share * tolerance.reserve(limit)}
+	share := tolerance.reserve(limit) / float64(max(1, instances))
+	return Limit{Rate: aloneRefill * share / tolerance.Window.Seconds(), Burst: aloneShare * share}
+}
+
+// acting returns the limit of an instance in place of a counter that is silent.
+func (tolerance Tolerance) acting(limit Limit) Limit {
+	reserve := tolerance.reserve(limit)
+	return Limit{Rate: actingRefill * reserve / tolerance.Window.Seconds(), Burst: actingShare * reserve}
 }
 
 // Grant is a counter's answer to a request for tokens.
@@ -82,8 +88,7 @@
 	counter.start(now, limit, tolerance)
 	grant := Grant{}
 	if provisional {
-		acting := Limit{Rate: actingRate * limit.Rate, Burst: actingShare * tolerance.reserve(limit)}
-		grant.Tokens, grant.NextAt = counter.acting.Take(now, acting, want)
+		grant.Tokens, grant.NextAt = counter.acting.Take(now, tolerance.acting(limit), want)
 	} else {
 		grant.Tokens, grant.NextAt = counter.bucket.Take(now, tolerance.Serving(limit), want)
 	}
@@ -121,30 +126,47 @@
 	counter.started = true
 }
 
-// Acting records for how long an instance has been asked to count a team in place of another instance. The zero value means not at all.
-type Acting struct {
-	since, latest time.Time
+// Authority decides whether an instance that is asked to count a team may do so in full. The zero value has been asked nothing.
+//
+// An instance in place of another one that it cannot reach does not know whether that one has failed or counts as well, on the
+// other side of a network partition. The platform is on one side only, so contact with it decides.
+type Authority struct {
+	since, latest time.Time // of requests for tokens while another instance is ranked first
+	othersSilent  bool      // some of the other instances in rank did not answer
 }
 
-// Delays of a takeover.
+// Timing of a takeover.
 const (
-	takeoverDelay = time.Second     // silence of a counter after which another one may take over
-	actingTTL     = 3 * time.Second // without requests for tokens after which an instance no longer acts
+	takeoverDelay  = time.Second             // silence of a counter after which the next in rank may count in full
+	askedTTL       = time.Second             // without requests for tokens after which an instance no longer stands in
+	platformSilent = 1400 * time.Millisecond // without contact after which an instance may be cut off from the platform
 )
 
-// Confirmed records a request for tokens, and reports whether the instance may count in full. It may if the counter has been
-// silent for a while, and the platform has been heard of since: an instance on the smaller side of a network partition has no
-// contact with it.
-func (acting *Acting) Confirmed(now, platformHeardAt time.Time) bool {
-	if now.Sub(acting.latest) > actingTTL {
-		acting.since = now
+// InPlaceOf records a request for tokens while another instance is ranked first, and reports whether this one may count in full:
+// the other one has been silent for a while, and the platform was heard of meanwhile.
+func (authority *Authority) InPlaceOf(now, platformHeardAt time.Time) bool {
+	if now.Sub(authority.latest) > askedTTL {
+		authority.since = now
+	}
+	authority.latest = now
+	return now.Sub(authority.since) >= takeoverDelay && platformHeardAt.Sub(authority.since) >= takeoverDelay/2
+}
+
+// First reports whether an instance that is ranked first may count in full: unless it may be cut off from the platform and from
+// an instance that then counts in its place.
+func (authority *Authority) First(now, platformHeardAt time.Time) bool {
+	return !authority.othersSilent || now.Sub(platformHeardAt) < platformSilent
+}
+
+// ObserveFirst records whether the instance that is ranked first has answered.
+func (authority *Authority) ObserveFirst(answered bool) {
+	if answered {
+		authority.since, authority.latest = time.Time{}, time.Time{}
 	}
-	acting.latest = now
-	return now.Sub(acting.since) >= takeoverDelay && platformHeardAt.Sub(acting.since) >= takeoverDelay/2
 }
 
-// Reset records that the counter has answered.
-func (acting *Acting) Reset() { *acting = Acting{} }
+// ObserveOthers records whether all instances next in rank have answered.
+func (authority *Authority) ObserveOthers(answered bool) { authority.othersSilent = !answered }
 
 // Batches of tokens.
 const (
--- /dev/null
+++ b/core/limit/limit_test.go
@@ -0,0 +1,159 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var (
+	start     = time.Unix(1_800_000_000, 0)
+	tolerance = Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+func TestBucketBurstAndRate(t *testing.T) {
+	bucket, limit := Bucket{}, Limit{Rate: 10, Burst: 30}
+	taken, _ := bucket.Take(start, limit, 100)
+	must.Eq(t, 30, taken)
+	taken, nextAt := bucket.Take(start, limit, 1)
+	must.Eq(t, 0, taken)
+	must.Eq(t, after(100*time.Millisecond), nextAt)
+	taken, _ = bucket.Take(after(time.Second), limit, 100)
+	must.Eq(t, 10, taken)
+	taken, _ = bucket.Take(after(time.Hour), limit, 100)
+	must.Eq(t, 30, taken)
+	bucket.Return(2)
+	taken, _ = bucket.Take(after(time.Hour), limit, 100)
+	must.Eq(t, 2, taken)
+}
+
+// TestLoweredLimit guards against a debt from before a limit was lowered, which would refuse requests within the new limit.
+func TestLoweredLimit(t *testing.T) {
+	bucket := Bucket{}
+	taken, _ := bucket.Take(start, Limit{Rate: 100, Burst: 100}, 90)
+	must.Eq(t, 90, taken)
+	lowered := Limit{Rate: 2, Burst: 4}
+	taken, nextAt := bucket.Take(start, lowered, 1)
+	must.Eq(t, 0, taken)
+	must.Eq(t, after(500*time.Millisecond), nextAt)
+}
+
+// TestTolerance checks that what counters, acting counters and instances alone may admit in a window adds up to the bound.
+func TestTolerance(t *testing.T) {
+	for _, limit := range []Limit{{Rate: 1}, {Rate: 14, Burst: 14}, {Rate: 200, Burst: 400}} {
+		serving := tolerance.Serving(limit)
+		admitted := serving.Rate*5 + serving.Burst + tolerance.reserve(limit)
+		bound := 1.1*(limit.Rate*5+limit.capacity()) + 20
+		must.InDelta(t, bound, admitted, 1e-9)
+		must.LessEq(t, 1, takeoverShare+actingShare+aloneShare+aloneRefill)
+	}
+}
+
+// TestNewCounterAdmitsNoSecondBurst checks that a counter without a history admits no more than its share of the reserve at once.
+func TestNewCounterAdmitsNoSecondBurst(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 100}
+	fresh := Counter{}
+	grant := fresh.Take(start, limit, tolerance, false, 1000)
+	must.LessEq(t, takeoverShare*tolerance.reserve(limit), float64(grant.Tokens))
+	must.Greater(t, 10, grant.Tokens)
+
+	// One that has inherited the count of an exhausted counter admits nothing.
+	exhausted := Counter{}
+	exhausted.Take(start, limit, tolerance, false, 1000)
+	used, pressing := exhausted.Used(start, limit, tolerance)
+	must.True(t, pressing)
+	heir := Counter{}
+	heir.Inherit(start, limit, tolerance, used)
+	must.Eq(t, 0, heir.Take(start, limit, tolerance, false, 1000).Tokens)
+}
+
+// TestRefusedCallersComeBackOneByOne checks that refused callers are told different times, at the rate of the limit.
+func TestRefusedCallersComeBackOneByOne(t *testing.T) {
+	counter, limit := Counter{}, Limit{Rate: 10, Burst: 10}
+	counter.Take(start, limit, Tolerance{Window: 5 * time.Second}, false, 10)
+	previous := start
+	for i := range 30 {
+		grant := counter.Take(start, limit, Tolerance{Window: 5 * time.Second}, false, 1)
+		must.Eq(t, 0, grant.Tokens)
+		must.Eq(t, after(100*time.Millisecond), grant.NextAt)
+		must.True(t, grant.RetryAt.After(previous), must.Sprint(i))
+		previous = grant.RetryAt
+	}
+	must.Eq(t, after(3*time.Second), previous)
+	for range 100 {
+		grant := counter.Take(start, limit, Tolerance{Window: 5 * time.Second}, false, 1)
+		must.LessEq(t, 5*time.Second, grant.RetryAt.Sub(start))
+	}
+}
+
+func TestInPlaceOf(t *testing.T) {
+	authority := Authority{}
+	must.False(t, authority.InPlaceOf(start, start))
+	must.False(t, authority.InPlaceOf(after(900*time.Millisecond), start))
+	// The platform has been silent since: this instance may be the one that is cut off.
+	must.False(t, authority.InPlaceOf(after(1500*time.Millisecond), start))
+	must.True(t, authority.InPlaceOf(after(1600*time.Millisecond), after(1500*time.Millisecond)))
+	authority.ObserveFirst(false)
+	must.True(t, authority.InPlaceOf(after(1700*time.Millisecond), after(1700*time.Millisecond)))
+	authority.ObserveFirst(true)
+	must.False(t, authority.InPlaceOf(after(1800*time.Millisecond), after(1800*time.Millisecond)))
+	// The instance was not asked for a while.
+	must.False(t, authority.InPlaceOf(after(9*time.Second), after(9*time.Second)))
+}
+
+func TestFirst(t *testing.T) {
+	authority := Authority{}
+	must.True(t, authority.First(after(time.Hour), start), must.Sprint("an outage of the platform alone changes nothing"))
+	authority.ObserveOthers(false)
+	must.True(t, authority.First(after(time.Second), start))
+	must.False(t, authority.First(after(1400*time.Millisecond), start))
+	authority.ObserveOthers(true)
+	must.True(t, authority.First(after(1400*time.Millisecond), start))
+}
+
+func TestCacheSizesBatchesByItsRate(t *testing.T) {
+	cache := Cache{}
+	must.Eq(t, 1, cache.Want())
+	for i := range 50 {
+		cache.Take(after(time.Duration(i) * 10 * time.Second))
+	}
+	must.Eq(t, 1, cache.Want())
+	for i := range 200 {
+		cache.Take(after(500*time.Second + time.Duration(i)*10*time.Millisecond))
+	}
+	must.Between(t, 8, cache.Want(), 12)
+}
+
+func TestCachedTokensExpire(t *testing.T) {
+	cache := Cache{}
+	admitted, _ := cache.Fill(start, Grant{Tokens: 3})
+	must.True(t, admitted)
+	admitted, decided, _ := cache.Take(after(999 * time.Millisecond))
+	must.True(t, admitted && decided)
+	_, decided, _ = cache.Take(after(time.Second))
+	must.False(t, decided)
+	// A second fill while the first tokens are valid does not extend their time.
+	cache.Fill(after(2*time.Second), Grant{Tokens: 3})
+	cache.Fill(after(2900*time.Millisecond), Grant{Tokens: 3})
+	_, decided, _ = cache.Take(after(3 * time.Second))
+	must.False(t, decided)
+}
+
+// TestAloneAdmitsAShare checks that instances that reach no counter admit together what the tolerance leaves for them.
+func TestAloneAdmitsAShare(t *testing.T) {
+	limit := Limit{Rate: 200, Burst: 200}
+	const instances = 100
+	total := 0
+	for i := range instances {
+		cache := Cache{}
+		for step := range 500 {
+			if cache.TakeAlone(after(time.Duration(step)*10*time.Millisecond), limit, tolerance, instances, float64(i)/instances) {
+				total++
+			}
+		}
+	}
+	must.Between(t, 1, float64(total), (aloneShare+aloneRefill)*tolerance.reserve(limit))
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -55,7 +55,8 @@
 // Enforcement parameters.
 const (
 	maxCounters      = 4                      // instances that are asked, one after the other, while the ones before are silent
-	probeInterval    = 200 * time.Millisecond // between probes of a counter in whose place this instance acts
+	probeInterval    = 200 * time.Millisecond // between probes of the other instances that count a team
+	probeAfter       = 800 * time.Millisecond // without contact with the platform after which the first in rank probes the others
 	countsInterval   = 500 * time.Millisecond // between messages with the counts of teams near their limit
 	unknownRetryTime = 100 * time.Millisecond // for callers that no counter could decide on
 	idleTTL          = time.Minute            // without requests after which a team's state is dropped
@@ -73,6 +74,7 @@
 	Metrics   metrics.Registry
 
 	shards [shardCount]shard
+	spawn  func(func()) // starts background work; nil for a goroutine
 }
 
 // shard holds the state of some of the teams.
@@ -84,10 +86,10 @@
 
 // count is the state of a team that this instance counts.
 type count struct {
-	counter limit.Counter
-	acting  limit.Acting
-	probeAt time.Time // of the next probe of the instances ranked before this one
-	usedAt  time.Time
+	counter   limit.Counter
+	authority limit.Authority
+	probeAt   time.Time // of the next probe of the other instances in rank
+	usedAt    time.Time
 }
 
 func (keeper *Keeper) shard(team string) *shard {
@@ -206,32 +208,46 @@
 	defer shard.mu.Unlock()
 	c := shard.count(team)
 	c.usedAt = now
-	provisional := len(ranked) == 0 || ranked[0].Name != keeper.Name
-	if provisional {
-		provisional = !c.acting.Confirmed(now, heardAt)
-		if !now.Before(c.probeAt) {
-			c.probeAt = now.Add(probeInterval)
-			go keeper.probe(context.WithoutCancel(ctx), ranked, team)
-		}
+	first := len(ranked) > 0 && ranked[0].Name == keeper.Name
+	full := false
+	if first {
+		full = c.authority.First(now, heardAt)
+	} else {
+		full = c.authority.InPlaceOf(now, heardAt)
+	}
+	if !now.Before(c.probeAt) && (!first || now.Sub(heardAt) > probeAfter) {
+		c.probeAt = now.Add(probeInterval)
+		keeper.start(func() { keeper.probe(context.WithoutCancel(ctx), ranked, team) })
+	}
+	return c.counter.Take(now, rate, keeper.Tolerance, !full, want)
+}
+
+// start runs a function in the background.
+func (keeper *Keeper) start(f func()) {
+	if keeper.spawn != nil {
+		keeper.spawn(f)
+		return
 	}
-	return c.counter.Take(now, rate, keeper.Tolerance, provisional, want)
+	go f()
 }
 
-// probe asks the instances that are ranked before this one for no tokens. If one answers, this instance need not act for it.
+// probe asks the other instances in rank for no tokens, and records which of them are silent.
 func (keeper *Keeper) probe(ctx context.Context, ranked []entry.Peer, team string) {
-	for _, counter := range ranked {
+	first, others := false, true
+	for i, counter := range ranked {
 		if counter.Name == keeper.Name {
-			return
-		}
-		if _, err := keeper.Link.TakeTokens(ctx, counter, team, 0); err != nil {
 			continue
 		}
-		shard := keeper.shard(team)
-		shard.mu.Lock()
-		shard.count(team).acting.Reset()
-		shard.mu.Unlock()
-		return
+		_, err := keeper.Link.TakeTokens(ctx, counter, team, 0)
+		first = first || i == 0 && err == nil
+		others = others && err == nil
 	}
+	shard := keeper.shard(team)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	authority := &shard.count(team).authority
+	authority.ObserveFirst(first)
+	authority.ObserveOthers(others)
 }
 
 // HandleReturnTokens takes back tokens of requests that were not run.
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,298 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/sequoiaspan/sequoiaspan/core/limit"
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+const team = "agencies"
+
+var (
+	tolerance = limit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	errSilent = errors.New("no reply")
+)
+
+// world is a fleet of keepers that call each other directly, on one clock.
+type world struct {
+	began   time.Time
+	now     time.Time
+	limit   limit.Limit
+	keepers []*Keeper
+	down    []bool      // killed and not yet restarted
+	listed  []bool      // on the platform's list
+	side    []int       // of a network partition
+	heardAt []time.Time // when each instance last heard of the platform, which is on side 0
+	served  []time.Time // admitted requests
+	owed    int         // requests that the limit allows
+	refused int
+
+	background []func()
+}
+
+func newWorld(instances int, rate limit.Limit) *world {
+	w := &world{now: time.Unix(1_800_000_000, 0), limit: rate}
+	for i := range instances {
+		w.keepers = append(w.keepers, nil)
+		w.down, w.listed, w.side, w.heardAt = append(w.down, false), append(w.listed, true), append(w.side, 0), append(w.heardAt, w.now)
+		w.start(i)
+	}
+	return w
+}
+
+// node is one instance's view of the world. It implements Fleet and Link.
+type node struct {
+	*world
+	index int
+}
+
+// start starts an instance without a history.
+func (w *world) start(i int) {
+	n := node{w, i}
+	w.keepers[i] = &Keeper{
+		Name: name(i), Fleet: n, Link: n, Tolerance: tolerance, Clock: func() time.Time { return w.now }, Log: zap.NewNop(),
+		Metrics: metrics.NewRegistry(), spawn: func(f func()) { w.later(f) },
+	}
+}
+
+// later runs background work at the next step: the keeper that starts it holds a lock.
+func (w *world) later(f func()) { w.background = append(w.background, f) }
+
+func name(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func (n node) TeamLimit(string) limit.Limit { return n.limit }
+
+func (n node) PlatformHeardAt() time.Time { return n.heardAt[n.index] }
+
+func (n node) Counters(_ string, count int) ([]entry.Peer, int) {
+	var ranked []entry.Peer
+	live := 0
+	for i, listed := range n.listed {
+		if !listed {
+			continue
+		}
+		live++
+		if len(ranked) < count {
+			ranked = append(ranked, entry.Peer{Name: name(i)})
+		}
+	}
+	return ranked, live
+}
+
+func (n node) peer(to string) (*Keeper, error) {
+	for i, keeper := range n.keepers {
+		if name(i) == to && !n.down[i] && n.side[i] == n.side[n.index] {
+			return keeper, nil
+		}
+	}
+	return nil, errSilent
+}
+
+func (n node) Reachable(string) bool { return true }
+
+func (n node) TakeTokens(ctx context.Context, to entry.Peer, team string, want int) (limit.Grant, error) {
+	peer, err := n.peer(to.Name)
+	if err != nil || want == 0 {
+		return limit.Grant{}, err
+	}
+	return peer.HandleTakeTokens(ctx, team, want), nil
+}
+
+func (n node) ReturnTokens(_ context.Context, to entry.Peer, team string, count int) error {
+	peer, err := n.peer(to.Name)
+	if err == nil {
+		peer.HandleReturnTokens(team, count)
+	}
+	return err
+}
+
+func (n node) SendCounts(_ context.Context, to entry.Peer, counts []Count) error {
+	peer, err := n.peer(to.Name)
+	if err == nil {
+		peer.HandleCounts(counts)
+	}
+	return err
+}
+
+// bound is the largest number of requests that may be sent in a window.
+func (w *world) bound() float64 {
+	return (w.limit.Rate*tolerance.Window.Seconds()+w.limit.Burst)*(1+tolerance.Overshoot) + tolerance.Slack
+}
+
+// busiestWindow returns the largest number of requests served in a window, and the end of that window.
+func (w *world) busiestWindow() (most int, end time.Time) {
+	first := 0
+	for i := range w.served {
+		for w.served[i].Sub(w.served[first]) > tolerance.Window {
+			first++
+		}
+		if i-first+1 > most {
+			most, end = i-first+1, w.served[i]
+		}
+	}
+	return most, end
+}
+
+const step = 5 * time.Millisecond
+
+// play sends requests at a rate that depends on the time, to random instances that are up, and calls f before each step.
+func (w *world) play(random *rand.Rand, duration time.Duration, rate func(at time.Duration) float64, f func(at time.Duration)) {
+	began := w.now
+	w.began = began
+	allowed, nextCounts := w.limit.Burst, time.Duration(0)
+	for at := time.Duration(0); at < duration; at += step {
+		w.now = began.Add(at)
+		if f != nil {
+			f(at)
+		}
+		background := w.background
+		w.background = nil
+		for _, run := range background {
+			run()
+		}
+		for i := range w.keepers {
+			if w.side[i] == 0 && !w.down[i] {
+				w.heardAt[i] = w.now.Add(-500 * time.Millisecond)
+			}
+		}
+		if at >= nextCounts {
+			nextCounts += countsInterval
+			for i, keeper := range w.keepers {
+				if !w.down[i] {
+					keeper.sendCounts(context.Background())
+				}
+			}
+		}
+		allowed = min(w.limit.Burst, allowed+w.limit.Rate*step.Seconds())
+		for n := rate(at) * step.Seconds(); random.Float64() < n; n-- {
+			w.request(random, &allowed)
+		}
+	}
+}
+
+func (w *world) request(random *rand.Rand, allowed *float64) {
+	i := random.IntN(len(w.keepers))
+	if w.down[i] {
+		return
+	}
+	owed := *allowed >= 1
+	if owed {
+		*allowed--
+		w.owed++
+	}
+	decision := w.keepers[i].Admit(context.Background(), team)
+	if decision.Admitted {
+		w.served = append(w.served, w.now)
+		return
+	}
+	w.refused++
+}
+
+// TestAdmitsAllWithinTheLimit sends four fifths of the limit in bursts as the limit allows, and checks that nothing is refused.
+func TestAdmitsAllWithinTheLimit(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		rate := limit.Limit{Rate: 5 + 95*random.Float64()}
+		rate.Burst = rate.Rate
+		w := newWorld(3+random.IntN(100), rate)
+		w.play(random, 20*time.Second, func(time.Duration) float64 { return 0.62 * rate.Rate }, nil)
+		must.Eq(t, 0, w.refused, must.Sprint(seed))
+	}
+}
+
+// TestHoldsTheLimitUnderPressure presses several times the limit, and checks the bound and that the limit is used.
+func TestHoldsTheLimitUnderPressure(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		rate := limit.Limit{Rate: 5 + 195*random.Float64()}
+		rate.Burst = rate.Rate
+		w := newWorld(3+random.IntN(100), rate)
+		w.play(random, 20*time.Second, func(time.Duration) float64 { return 5 * rate.Rate }, nil)
+		most, _ := w.busiestWindow()
+		must.LessEq(t, w.bound(), float64(most), must.Sprint(seed))
+		must.GreaterEq(t, 0.95*float64(w.owed), float64(len(w.served)), must.Sprint(seed))
+	}
+}
+
+// TestHoldsTheLimitThroughFaults presses several times the limit while the instances that count are killed and restarted without
+// a history, and while up to a third of all instances is cut off from the others and from the platform.
+func TestHoldsTheLimitThroughFaults(t *testing.T) {
+	worst := 0.0
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		rate := limit.Limit{Rate: 5 + 195*random.Float64()}
+		rate.Burst = rate.Rate
+		w := newWorld(6+random.IntN(40), rate)
+		press := 1 + 6*random.Float64()
+		killAt, restartAfter := time.Duration(2+random.IntN(4))*time.Second, time.Duration(500+random.IntN(7000))*time.Millisecond
+		cutAt := time.Duration(10+random.IntN(3)) * time.Second
+		cutFor := time.Duration(2+random.IntN(10)) * time.Second
+		killed, cut := random.IntN(2), random.Perm(len(w.keepers))[:random.IntN(len(w.keepers)/3+1)]
+		w.play(random, 30*time.Second, func(time.Duration) float64 { return press * 0.62 * rate.Rate }, func(at time.Duration) {
+			switch at {
+			case killAt:
+				w.down[killed] = true
+			case killAt + restartAfter:
+				w.start(killed)
+				w.down[killed], w.listed[killed] = false, true
+			case cutAt, cutAt + cutFor:
+				for _, i := range cut {
+					w.side[i] = 1 - w.side[i]
+				}
+			}
+			if w.down[killed] && at > killAt+5*time.Second {
+				w.listed[killed] = false
+			}
+		})
+		most, end := w.busiestWindow()
+		share := float64(most) / w.bound()
+		worst = max(worst, share)
+		if share > 1 {
+			t.Errorf("seed %d: %d requests in the window until %v, %.2f of the bound; limit %.0f, pressed %.1f times, instance %d of %d killed at %v for %v, %v cut off at %v for %v",
+				seed, most, end.Sub(w.began), share, rate.Rate, press, killed, len(w.keepers), killAt, restartAfter, cut, cutAt, cutFor)
+		}
+	}
+	t.Logf("most requests in a window: %.2f of the bound", worst)
+}
+
+// TestReturnedTokensAreUsedAgain checks that requests that were not run do not use up the limit.
+func TestReturnedTokensAreUsedAgain(t *testing.T) {
+	w := newWorld(5, limit.Limit{Rate: 5, Burst: 10})
+	for i := range 200 {
+		decision := w.keepers[i%5].Admit(context.Background(), team)
+		must.True(t, decision.Admitted, must.Sprint(i))
+		w.keepers[i%5].Return(team)
+	}
+}
+
+// TestNoCounterAnswers checks that a caller is told that the limit is unknown where no instance that counts the team answers.
+func TestNoCounterAnswers(t *testing.T) {
+	w := newWorld(100, limit.Limit{Rate: 5, Burst: 5})
+	w.side[99] = 1
+	refused := 0
+	for range 20 {
+		if decision := w.keepers[99].Admit(context.Background(), team); !decision.Admitted {
+			refused++
+			must.True(t, decision.Unknown)
+			must.Eq(t, "", decision.DecidedBy)
+		}
+	}
+	must.GreaterEq(t, 19, refused)
+}
+
+func TestTeamsWithoutALimit(t *testing.T) {
+	w := newWorld(2, limit.Limit{})
+	for range 1000 {
+		must.True(t, w.keepers[1].Admit(context.Background(), team).Admitted)
+	}
+}
