--- a/core/limit/bucket.go
+++ b/core/limit/bucket.go
@@ -50,6 +50,17 @@
 	return taken, time.Time{}
 }
 
+// noReserveDelay is the time after which to ask again where nothing is reserved.
+const noReserveDelay = 100 * time.Millisecond
+
+// takeReserved is Take for a part of a tolerance: a rate of 0 means that nothing is reserved, and not that there is no limit.
+func (bucket *Bucket) takeReserved(now time.Time, limit Limit, want int) (int, time.Time) {
+	if limit.Rate <= 0 {
+		return 0, now.Add(noReserveDelay)
+	}
+	return bucket.Take(now, limit, want)
+}
+
 // Return gives tokens back that were taken and not used.
 func (bucket *Bucket) Return(tokens int) {
 	bucket.used = max(0, bucket.used-float64(tokens))
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -88,7 +88,7 @@
 	counter.start(now, limit, tolerance)
 	grant := Grant{}
 	if provisional {
-		grant.Tokens, grant.NextAt = counter.acting.Take(now, tolerance.acting(limit), want)
+		grant.Tokens, grant.NextAt = counter.acting.takeReserved(now, tolerance.acting(limit), want)
 	} else {
 		grant.Tokens, grant.NextAt = counter.bucket.Take(now, tolerance.Serving(limit), want)
 	}
@@ -173,7 +173,7 @@
 	batchInterval = 100 * time.Millisecond // a batch holds the tokens for this time at the instance's recent rate
 	maxBatch      = 64
 	tokenTTL      = time.Second // lifetime of unused tokens
-	rateWeight    = 0.2         // of the latest interval in the moving average of intervals between requests
+	rateMemory    = time.Second // after which a request counts for 1/e in the recent rate
 )
 
 // Cache holds the tokens that an instance has fetched for one team. The zero value is empty. A Cache is not safe for
@@ -184,8 +184,8 @@
 	refusal   Grant // the latest one without tokens
 	alone     Bucket
 	isAlone   bool
-	latest    time.Time     // latest request
-	interval  time.Duration // mean time between requests, 0 if unknown
+	latest    time.Time // latest request
+	recent    float64   // requests, each with a weight that decays over rateMemory
 }
 
 // Take takes a token for a request. If decided is false, the cache is empty and must be filled first.
@@ -202,22 +202,18 @@
 	return false, false, time.Time{}
 }
 
-// observe updates the mean time between requests.
+// observe adds a request to the recent ones.
 func (cache *Cache) observe(now time.Time) {
-	if gap := now.Sub(cache.latest); !cache.latest.IsZero() && cache.interval > 0 {
-		cache.interval += time.Duration(rateWeight * float64(gap-cache.interval))
-	} else if !cache.latest.IsZero() {
-		cache.interval = gap
-	}
+	cache.recent *= math.Exp(-now.Sub(cache.latest).Seconds() / rateMemory.Seconds())
+	cache.recent++
 	cache.latest = now
 }
 
-// Want returns how many tokens to fetch, the one for the present request included.
+// Want returns how many tokens to fetch, the one for the present request included. It fetches more only at a rate that likely uses
+// them: others may need tokens that expire here.
 func (cache *Cache) Want() int {
-	if cache.interval <= 0 {
-		return 1
-	}
-	return 1 + min(maxBatch, int(batchInterval/cache.interval))
+	perSecond := cache.recent / rateMemory.Seconds()
+	return 1 + min(maxBatch, int(perSecond*batchInterval.Seconds()))
 }
 
 // Fill adds fetched tokens and takes one of them for a request.
@@ -252,7 +248,7 @@
 		cache.alone = Bucket{}
 		cache.alone.spend(now, own, max(level, math.Floor(capacity)))
 	}
-	taken, _ := cache.alone.Take(now, own, 1)
+	taken, _ := cache.alone.takeReserved(now, own, 1)
 	return taken > 0
 }
 
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -121,7 +121,10 @@
 		cache.Take(after(time.Duration(i) * 10 * time.Second))
 	}
 	must.Eq(t, 1, cache.Want())
-	for i := range 200 {
+	// Two requests at once are not a rate.
+	cache.Take(after(490 * time.Second))
+	must.Eq(t, 1, cache.Want())
+	for i := range 400 {
 		cache.Take(after(500*time.Second + time.Duration(i)*10*time.Millisecond))
 	}
 	must.Between(t, 8, cache.Want(), 12)
@@ -157,3 +160,13 @@
 	}
 	must.Between(t, 1, float64(total), (aloneShare+aloneRefill)*tolerance.reserve(limit))
 }
+
+// TestNothingReserved guards against reading an empty reserve as no limit.
+func TestNothingReserved(t *testing.T) {
+	limit := Limit{Rate: 10, Burst: 10}
+	counter, cache := Counter{}, Cache{}
+	grant := counter.Take(start, limit, Tolerance{Window: 5 * time.Second}, true, 5)
+	must.Eq(t, 0, grant.Tokens)
+	must.True(t, grant.NextAt.After(start))
+	must.False(t, cache.TakeAlone(after(time.Hour), limit, Tolerance{Window: 5 * time.Second}, 3, 0.5))
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -158,7 +158,7 @@
 		Traces: Traces{Exporter: "off"}, Platform: PlatformHTTP, Floor: rules.DefaultFloor,
 		Callers: Callers{AnswerTTL: Duration(5 * time.Second), MaxAddresses: 8},
 		Retries: Retries{Share: 0.2, Burst: 44},
-		Quotas:  Quotas{Window: Duration(5 * time.Second)},
+		Quotas:  Quotas{Window: Duration(5 * time.Second), Overshoot: 0.1},
 	}
 }
 
