Derive the time of suspicion from all answers of a slice while no server has enough

Cause: the time of suspicion was 500 ms until one server had ten answers of its own, 16 s for requests of 960 ms of which each server gets 0.6 a second: nearly every one of them counted as silent, 58 to 71 of 100 were hedged and most of these refused as over budget.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -129,6 +129,7 @@
 	observers         observers
 	quarantine        quarantine.Quarantine
 	ended             recentAttempts
+	firstBytes        firstBytes    // of all servers
 	suspectAfter      time.Duration // silence before the first byte that makes a server suspect
 	suspectAfterKnown bool          // suspectAfter is derived from the slice's answers
 	createdAt         time.Time
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
 )
 
@@ -108,10 +106,6 @@
 	suspectFactor           = 2.0  // times the median over the slice's servers of the 95th percentile
 	slowedFactor            = 1.25 // increase of suspectAfter that invalidates earlier evidence
 	statsInterval           = time.Second
-	statsWindows            = 4
-	statsWindowDuration     = 15 * time.Second
-	minSamples              = 10
-	maxFirstByteMicros      = int64(10 * time.Minute / time.Microsecond)
 	freshConnectionDuration = 10 * time.Second // after a failure on a reused connection
 	busySlotShare           = 0.75             // of a server's slots; a rejection with more of them in use is due to overload
 )
@@ -210,7 +204,8 @@
 }
 
 func (pool *Pool) recordAnswer(now time.Time, s *server, report Report, g grant) {
-	s.recordFirstByte(report.FirstByte)
+	s.firstBytes.record(report.FirstByte)
+	pool.firstBytes.record(report.FirstByte)
 	s.consecutiveSheds = 0
 	// A late answer counts too, because a failing server gives none.
 	s.health.succeed(now, g.grantedAt)
@@ -302,31 +297,24 @@
 	return silenceWeight
 }
 
-func (server *server) recordFirstByte(firstByte time.Duration) {
-	if firstByte <= 0 {
-		return
-	}
-	if server.firstBytes == nil {
-		server.firstBytes = hdrhistogram.NewWindowed(statsWindows, 1, maxFirstByteMicros, 1)
-	}
-	// An error means that the value is out of range; the statistics can skip it.
-	_ = server.firstBytes.Current.RecordValue(min(maxFirstByteMicros, max(1, firstByte.Microseconds())))
-}
-
-// updateSuspectAfter derives suspectAfter from the slice's times to the first byte.
+// updateSuspectAfter derives suspectAfter from the slice's times to the first byte: from the servers of which enough answers are
+// known, and from all answers together while there is no such server. At long work and few requests a server, the latter
+// is known within a second and the former after a quarter of a minute.
 func (pool *Pool) updateSuspectAfter(now time.Time) {
 	percentiles := make([]time.Duration, 0, len(pool.servers))
 	for _, s := range pool.servers {
-		if percentile, found := s.firstByteP95(now); found {
+		if percentile, found := s.firstBytes.p95(now); found {
 			percentiles = append(percentiles, percentile)
 		}
 	}
-	if len(percentiles) == 0 {
+	slices.Sort(percentiles)
+	typical, found := pool.firstBytes.p95(now)
+	if len(percentiles) > 0 {
+		typical = percentiles[len(percentiles)/2]
+	} else if !found {
 		return
 	}
-	slices.Sort(percentiles)
-	median := percentiles[len(percentiles)/2]
-	next := min(maxSuspectAfter, max(minSuspectAfter, time.Duration(suspectFactor*float64(median))))
+	next := min(maxSuspectAfter, max(minSuspectAfter, time.Duration(suspectFactor*float64(typical))))
 	if float64(next) > slowedFactor*float64(pool.suspectAfter) {
 		pool.clearEvidence()
 	}
@@ -341,19 +329,3 @@
 		}
 	}
 }
-
-// firstByteP95 returns the 95th percentile of the time to the first byte over the latest windows.
-func (server *server) firstByteP95(now time.Time) (time.Duration, bool) {
-	if server.firstBytes == nil {
-		return 0, false
-	}
-	if !now.Before(server.rotateAt) {
-		server.rotateAt = now.Add(statsWindowDuration)
-		server.firstBytes.Rotate()
-	}
-	merged := server.firstBytes.Merge()
-	if merged.TotalCount() < minSamples {
-		return 0, false
-	}
-	return time.Duration(merged.ValueAtQuantile(95)) * time.Microsecond, true
-}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Cold start, slow start and overload.
@@ -65,8 +63,7 @@
 	failedAt         time.Time // latest failure
 	failedGrantedAt  time.Time // grant time of the attempt that failed last
 	events           rate
-	firstBytes       *hdrhistogram.WindowedHistogram
-	rotateAt         time.Time
+	firstBytes       firstBytes
 }
 
 // startRamp begins a slow start.
