Relay tokens of the counting instance through the one that stands in for it

Change: a stand-in fetches from the counter what was asked of it since the last probe, and passes it on; one late answer no longer counts as silence.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -63,10 +63,13 @@
 // Counter counts the requests of one team over all instances. The zero value has no history of the team. A Counter is not safe
 // for concurrent use.
 type Counter struct {
-	bucket  Bucket
-	acting  Bucket // while acting for a counter that is silent
-	started bool
-	retryAt time.Time // given to the latest refused caller
+	bucket   Bucket
+	acting   Bucket // while acting for a counter that is silent
+	relayed  int    // tokens of another counter, for those who do not reach it
+	relayTTL time.Time
+	missing  int // tokens that could not be granted since the latest call of Missing
+	started  bool
+	retryAt  time.Time // given to the latest refused caller
 }
 
 // start empties the bucket of a counter without a history: the previous counter may have admitted a burst a moment ago.
@@ -88,7 +91,7 @@
 	counter.start(now, limit, tolerance)
 	grant := Grant{}
 	if provisional {
-		grant.Tokens, grant.NextAt = counter.acting.takeReserved(now, tolerance.acting(limit), want)
+		grant.Tokens, grant.NextAt = counter.takeProvisional(now, tolerance.acting(limit), want)
 	} else {
 		grant.Tokens, grant.NextAt = counter.bucket.Take(now, tolerance.Serving(limit), want)
 	}
@@ -98,6 +101,33 @@
 	return grant
 }
 
+// takeProvisional takes tokens of the counter that this one acts for, and some of the reserve while it has none.
+func (counter *Counter) takeProvisional(now time.Time, acting Limit, want int) (int, time.Time) {
+	counter.missing += want
+	if now.Before(counter.relayTTL) && counter.relayed > 0 {
+		taken := min(want, counter.relayed)
+		counter.relayed -= taken
+		return taken, time.Time{}
+	}
+	return counter.acting.takeReserved(now, acting, want)
+}
+
+// Missing returns how many tokens to fetch from the counter that this one acts for: as many as were asked for since the latest call.
+func (counter *Counter) Missing() int {
+	missing := min(maxBatch, counter.missing)
+	counter.missing = 0
+	return missing
+}
+
+// Relay adds tokens of the counter that this one acts for.
+func (counter *Counter) Relay(now time.Time, tokens int) {
+	if !now.Before(counter.relayTTL) {
+		counter.relayed = 0
+	}
+	counter.relayed += tokens
+	counter.relayTTL = now.Add(tokenTTL)
+}
+
 // stagger returns when a refused caller should come back: at the rate of the limit, one caller after the other, so that they
 // do not all return for the same token. It starts over when the last one would wait for longer than a window.
 func (counter *Counter) stagger(now, nextAt time.Time, limit Limit, tolerance Tolerance) time.Time {
@@ -132,7 +162,7 @@
 // other side of a network partition. The platform is on one side only, so contact with it decides.
 type Authority struct {
 	since, latest time.Time // of requests for tokens while another instance is ranked first
-	othersSilent  bool      // some of the other instances in rank did not answer
+	silences      int       // consecutive times that some of the other instances in rank did not answer
 }
 
 // Timing of a takeover.
@@ -140,6 +170,7 @@
 	takeoverDelay  = time.Second             // silence of a counter after which the next in rank may count in full
 	askedTTL       = time.Second             // without requests for tokens after which an instance no longer stands in
 	platformSilent = 1400 * time.Millisecond // without contact after which an instance may be cut off from the platform
+	minSilences    = 2                       // of other instances in rank that are no mere delay
 )
 
 // InPlaceOf records a request for tokens while another instance is ranked first, and reports whether this one may count in full:
@@ -155,7 +186,7 @@
 // First reports whether an instance that is ranked first may count in full: unless it may be cut off from the platform and from
 // an instance that then counts in its place.
 func (authority *Authority) First(now, platformHeardAt time.Time) bool {
-	return !authority.othersSilent || now.Sub(platformHeardAt) < platformSilent
+	return authority.silences < minSilences || now.Sub(platformHeardAt) < platformSilent
 }
 
 // ObserveFirst records whether the instance that is ranked first has answered.
@@ -166,7 +197,12 @@
 }
 
 // ObserveOthers records whether all instances next in rank have answered.
-func (authority *Authority) ObserveOthers(answered bool) { authority.othersSilent = !answered }
+func (authority *Authority) ObserveOthers(answered bool) {
+	authority.silences++
+	if answered {
+		authority.silences = 0
+	}
+}
 
 // Batches of tokens.
 const (
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -108,6 +108,8 @@
 	authority := Authority{}
 	must.True(t, authority.First(after(time.Hour), start), must.Sprint("an outage of the platform alone changes nothing"))
 	authority.ObserveOthers(false)
+	must.True(t, authority.First(after(time.Hour), start), must.Sprint("one late answer changes nothing"))
+	authority.ObserveOthers(false)
 	must.True(t, authority.First(after(time.Second), start))
 	must.False(t, authority.First(after(1400*time.Millisecond), start))
 	authority.ObserveOthers(true)
@@ -170,3 +172,18 @@
 	must.True(t, grant.NextAt.After(start))
 	must.False(t, cache.TakeAlone(after(time.Hour), limit, Tolerance{Window: 5 * time.Second}, 3, 0.5))
 }
+
+// TestRelayedTokens checks that an instance in place of a counter that others do not reach passes on what that counter grants.
+func TestRelayedTokens(t *testing.T) {
+	limit := Limit{Rate: 10, Burst: 10}
+	none := Tolerance{Window: 5 * time.Second}
+	counter := Counter{}
+	must.Eq(t, 0, counter.Take(start, limit, none, true, 3).Tokens)
+	must.Eq(t, 3, counter.Missing())
+	must.Eq(t, 0, counter.Missing())
+	counter.Relay(start, 3)
+	must.Eq(t, 2, counter.Take(start, limit, none, true, 2).Tokens)
+	must.Eq(t, 1, counter.Take(after(900*time.Millisecond), limit, none, true, 2).Tokens)
+	counter.Relay(after(time.Second), 5)
+	must.Eq(t, 0, counter.Take(after(2*time.Second), limit, none, true, 1).Tokens)
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -55,7 +55,7 @@
 // Enforcement parameters.
 const (
 	maxCounters      = 4                      // instances that are asked, one after the other, while the ones before are silent
-	probeInterval    = 200 * time.Millisecond // between probes of the other instances that count a team
+	probeInterval    = 100 * time.Millisecond // between probes of the other instances that count a team
 	probeAfter       = 800 * time.Millisecond // without contact with the platform after which the first in rank probes the others
 	countsInterval   = 500 * time.Millisecond // between messages with the counts of teams near their limit
 	unknownRetryTime = 100 * time.Millisecond // for callers that no counter could decide on
@@ -231,23 +231,32 @@
 	go f()
 }
 
-// probe asks the other instances in rank for no tokens, and records which of them are silent.
+// probe asks the other instances in rank whether they are there, and the first of them for the tokens that callers of this one asked
+// for meanwhile.
 func (keeper *Keeper) probe(ctx context.Context, ranked []entry.Peer, team string) {
-	first, others := false, true
+	shard := keeper.shard(team)
+	shard.mu.Lock()
+	want := shard.count(team).counter.Missing()
+	shard.mu.Unlock()
+	first, others, relayed := false, true, 0
 	for i, counter := range ranked {
 		if counter.Name == keeper.Name {
 			continue
 		}
-		_, err := keeper.Link.TakeTokens(ctx, counter, team, 0)
+		if i > 0 {
+			want = 0
+		}
+		grant, err := keeper.Link.TakeTokens(ctx, counter, team, want)
 		first = first || i == 0 && err == nil
 		others = others && err == nil
+		relayed += grant.Tokens
 	}
-	shard := keeper.shard(team)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	authority := &shard.count(team).authority
-	authority.ObserveFirst(first)
-	authority.ObserveOthers(others)
+	c := shard.count(team)
+	c.authority.ObserveFirst(first)
+	c.authority.ObserveOthers(others)
+	c.counter.Relay(keeper.Clock(), relayed)
 }
 
 // HandleReturnTokens takes back tokens of requests that were not run.
