Take an instance that is listed again for restarted

Cause: an instance that stops tells all others that it leaves, and after its restart only those with a session to it heard of it again; the others left it out of their ranking for ten minutes.

Change: the announcement ends when the list shows the instance again after it was missing, unless the list comes from a restored copy.

Measured: TestRestartedInstancesAreLive fails before.

--- a/core/instance/view.go
+++ b/core/instance/view.go
@@ -67,6 +67,9 @@
 	slices.SortFunc(view.list.Entries, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(view.list.Servers, func(a, b Server) int { return cmp.Compare(a.Name, b.Name) })
 	view.recordDepartures(now, &before)
+	if list.Restorations == before.Restorations {
+		view.clearRestarted(&before)
+	}
 	view.initialized = true
 	return true
 }
@@ -87,6 +90,20 @@
 	}
 }
 
+// clearRestarted drops the leaving announcements of instances that were missing from the previous list and are listed again: they
+// have restarted. An instance learns of a restart directly only from those that open a session to it.
+func (view *View) clearRestarted(before *List) {
+	for i := range view.list.Entries {
+		name := view.list.Entries[i].Name
+		if _, found := view.leaving[name]; !found {
+			continue
+		}
+		if !slices.ContainsFunc(before.Entries, func(e Entry) bool { return e.Name == name }) {
+			delete(view.leaving, name)
+		}
+	}
+}
+
 // listsRun reports whether the current list contains the run.
 func (view *View) listsRun(r run) bool {
 	s, listed := FindServer(view.list.Servers, r.name)
--- a/core/instance/view_test.go
+++ b/core/instance/view_test.go
@@ -84,3 +84,26 @@
 	must.True(t, view.ExpireSuppressed(now.Add(suppressionDuration)))
 	must.Eq(t, Live, states(now.Add(suppressionDuration))["gone"])
 }
+
+// TestRestartedInstancesAreLive guards against taking an instance that was restarted for leaving: of those that it told that it leaves,
+// only some hear from it again.
+func TestRestartedInstancesAreLive(t *testing.T) {
+	now := time.Unix(1000, 0)
+	view := View{}
+	both, one := []Entry{{Name: "entry-0"}, {Name: "entry-1"}}, []Entry{{Name: "entry-0"}}
+	state := func() State { return view.Entries(now)[1].State }
+	must.True(t, view.Apply(now, List{Changes: 1, Entries: both}))
+	view.MarkLeaving(now, "entry-1")
+	must.Eq(t, Leaving, state())
+	must.True(t, view.Apply(now, List{Changes: 2, Entries: both}))
+	must.Eq(t, Leaving, state(), must.Sprint("the list lags"))
+	must.True(t, view.Apply(now, List{Changes: 3, Entries: one}))
+	must.True(t, view.Apply(now, List{Changes: 4, Entries: both}))
+	must.Eq(t, Live, state())
+
+	// A restored copy of the list shows an instance that is still leaving.
+	view.MarkLeaving(now, "entry-1")
+	must.True(t, view.Apply(now, List{Changes: 5, Entries: one}))
+	must.True(t, view.Apply(now, List{Changes: 6, Restorations: 1, Entries: both}))
+	must.Eq(t, Leaving, state())
+}
