Refill the retry budget with time, as the limit on retries does

Cause: the users' limit allows a share of the requests and a burst in each window; the budget earned the share alone, and its burst once.

Change: a quarter of the burst may be spent at once and a twentieth of it comes back each second, which with a change of home stays below the burst in ten seconds; hedges may use 0.7 of what may be spent at once.

Measured: TestRetriesStayWithinTheBurstOfAWindow, 33 of 42, 51 of 60 and 151 of 160 allowed in ten seconds at 1, 10 and 60 requests/s with two changes of home.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -1,24 +1,40 @@
 package pool
 
+import "time"
+
 // Token budgets: first attempts earn tokens; retries, hedges and verifications spend them.
+//
+// A service's retries are limited over a window of ten seconds: to a share of its requests plus a burst. What a pool may spend at once and
+// what is refilled with time add up to less than the burst in a window. The rest is for the previous home of the slice and for its standby.
 const (
 	defaultRetryShare = 0.2 // earned per first attempt, for retries and hedges
 	defaultRetryBurst = 20.0
-	hedgeBurstShare   = 0.5  // of the burst; the rest is reserved for retries
-	initialSpentShare = 0.25 // of the burst that a new pool counts as spent, low enough to allow hedges
+	retryAtOnce       = 0.25 // of the burst, that may be spent at once
+	retryPerSecond    = 0.05 // of the burst, refilled in each second
+	hedgeShare        = 0.7  // of what may be spent at once; the rest is reserved for retries
+	initialSpentShare = 0.4  // of what may be spent at once that a new pool counts as spent, low enough to allow hedges
 	verifyShare       = 0.1  // earned per first attempt, for verifications
 	verifyBurst       = 8.0
 )
 
 // budget limits additional attempts to a share of the first attempts. The zero value is full.
 type budget struct {
-	spent float64
+	spent      float64
+	refilledAt time.Time
 }
 
 func (budget *budget) earn(tokens float64) {
 	budget.spent = max(0, budget.spent-tokens)
 }
 
+// refill adds the tokens of the time since the latest refill.
+func (budget *budget) refill(now time.Time, perSecond float64) {
+	if !budget.refilledAt.IsZero() {
+		budget.earn(perSecond * now.Sub(budget.refilledAt).Seconds())
+	}
+	budget.refilledAt = now
+}
+
 // spend takes a token and reports true, unless more than limit tokens would then be spent.
 func (budget *budget) spend(limit float64) bool {
 	if budget.spent+1 > limit {
@@ -28,10 +44,11 @@
 	return true
 }
 
-// maxSpent returns the limit on spent tokens for a retry or a hedge.
+// maxSpent returns the limit on spent tokens for a retry or a hedge. At least one can be spent at once.
 func (policy *Policy) maxSpent(hedge bool) float64 {
+	atOnce := max(1, retryAtOnce*policy.RetryBurst)
 	if hedge {
-		return hedgeBurstShare * policy.RetryBurst
+		return max(1, hedgeShare*atOnce)
 	}
-	return policy.RetryBurst
+	return atOnce
 }
--- a/core/pool/budget_test.go
+++ b/core/pool/budget_test.go
@@ -23,3 +23,53 @@
 	ask.Attempt, ask.Hedge, ask.Number, ask.Exclude = 2, true, 2, []string{first.Server}
 	must.Eq(t, pool.Granted, p.Ask(benchStart, ask).Verdict)
 }
+
+// TestRetriesStayWithinTheBurstOfAWindow asks for as many retries as possible, with a change of home in the middle, and checks the limit of
+// the requests' share plus the burst in any ten seconds. A service that is asked for little but retries uses most of it.
+func TestRetriesStayWithinTheBurstOfAWindow(t *testing.T) {
+	const share, burst, window = 0.2, 40.0, 10 * time.Second
+	for _, perSecond := range []int{1, 10, 60} {
+		var grantedAt []time.Time
+		homes := make([]*pool.Pool, 3)
+		attempt := uint64(0)
+		for step := range 4000 {
+			now := benchStart.Add(time.Duration(step) * 10 * time.Millisecond)
+			// The home moves after 20 s to an instance that knows nothing, and after 23 s to another.
+			home := 0
+			if step >= 2000 {
+				home = 1
+			}
+			if step >= 2300 {
+				home = 2
+			}
+			if homes[home] == nil {
+				homes[home] = &pool.Pool{}
+				homes[home].SetPolicy(pool.Policy{Slots: 1000, RetryShare: share, RetryBurst: burst})
+				homes[home].SetServers(now, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+			}
+			ask := func(number int) pool.Verdict {
+				attempt++
+				verdict := homes[home].Ask(now, pool.Ask{Attempt: attempt, Entry: "e0", Domain: "d0", Idempotent: true, Number: number, Deadline: now.Add(time.Minute)}).Verdict
+				homes[home].Report(now, pool.Report{Attempt: attempt, Server: "s0", Entry: "e0", Domain: "d0", Outcome: pool.Answered, FirstByte: time.Millisecond})
+				return verdict
+			}
+			if step*perSecond/100 != (step+1)*perSecond/100 {
+				must.Eq(t, pool.Granted, ask(1))
+			}
+			for ask(2) == pool.Granted {
+				grantedAt = append(grantedAt, now)
+			}
+		}
+		first, most := 0, 0
+		for i := range grantedAt {
+			for grantedAt[i].Sub(grantedAt[first]) > window {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		bound := share*float64(perSecond)*window.Seconds() + burst
+		t.Logf("%d requests/s: at most %d retries in ten seconds, bound %.0f", perSecond, most, bound)
+		must.LessEq(t, bound, float64(most))
+		must.GreaterEq(t, bound/2, float64(most))
+	}
+}
--- a/core/pool/options.go
+++ b/core/pool/options.go
@@ -17,7 +17,7 @@
 	Wait        time.Duration // maximum time in the queue for a slot
 	Servers     int           // of the whole service, 0 for those of the slice
 	RetryShare  float64       // tokens for retries and hedges that each first attempt earns
-	RetryBurst  float64       // maximum retries and hedges at once
+	RetryBurst  float64       // retries and hedges in ten seconds beyond those earned
 }
 
 // PolicyOf returns the policy for one of the given number of slices of a service.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -214,7 +214,7 @@
 	// Earlier losses are unknown, so the service counts as degraded.
 	pool.lossMonitor.degradedUntil = now.Add(degradedDuration)
 	// A previous home may have spent that much recently.
-	pool.budget.spent = initialSpentShare * pool.policy.RetryBurst
+	pool.budget.spent = initialSpentShare * retryAtOnce * pool.policy.RetryBurst
 }
 
 func (pool *Pool) slotsFor(member Member) int {
@@ -269,6 +269,7 @@
 			return Decision{Attempt: ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)}
 		}
 	}
+	pool.budget.refill(now, retryPerSecond*pool.policy.RetryBurst)
 	if ask.Number <= 1 {
 		if granted, retryAt := pool.rate.Take(now, limit.Limit{Rate: pool.policy.Limit}, 1); granted == 0 {
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,10 +66,6 @@
 // other addresses meanwhile; requests accepted later would not finish in time.
 const acceptGraceShare = 0.5
 
-// homeBurstShare is the share of a service's retry burst that one home may spend. During a change of home, a slice's previous
-// home, its standby and its new home may each have a budget.
-const homeBurstShare = 0.45
-
 // exitMargin is the rest of the grace period reserved for the exit of the process.
 const exitMargin = 300 * time.Millisecond
 
@@ -192,7 +188,7 @@
 		Name: s.Name, Domain: s.Domain, Region: s.Region, Caller: s.Caller, Peer: peer, Operator: s.Operator, Incarnation: incarnation,
 		Processor:  s.ProcessorCores,
 		FirstStart: s.FirstStart, DecideLocally: s.DecideLocally, Seeds: s.Seeds, DirectoryTTL: time.Duration(s.Callers.AnswerTTL), MaxAddresses: s.Callers.MaxAddresses,
-		RetryBudget: entry.RetryBudget{Share: s.Retries.Share, Burst: homeBurstShare * s.Retries.Burst},
+		RetryBudget: entry.RetryBudget{Share: s.Retries.Share, Burst: s.Retries.Burst},
 		Intervals:   entry.Intervals{List: time.Duration(s.Intervals.InstanceList), Table: time.Duration(s.Intervals.KeyTable)},
 		Store:       platform.Store, Instances: platform.Instances, Feed: platform.Feed, Registrar: platform.Registrar,
 		RulesSource: platform.Rulebook, Prober: daemon.backend, Replayer: daemon.backend,
