--- a/command/control.go
+++ b/command/control.go
@@ -24,6 +24,7 @@
   sequoiaspanctl publish rules --store 10.0.0.5:7000 --instance-list 10.0.0.5:7001
   sequoiaspanctl status --details --instance-list 10.0.0.5:7001
   sequoiaspanctl explain rules POST /releases
+  sequoiaspanctl key new
 
 SEQUOIASPAN_STORE_ADDRESS and SEQUOIASPAN_INSTANCE_LIST_ADDRESS give the defaults of the flags.`
 
@@ -57,6 +58,11 @@
 	explain := fileCommand("explain", "show which rules apply to a request", args)
 	explain.AddPositionalValue(&args.method, "METHOD", 2, true, "method of the request")
 	explain.AddPositionalValue(&args.path, "PATH", 3, true, "path of the request")
+	key := flaggy.NewSubcommand("key")
+	key.Description = "manage API keys of teams"
+	newKey := flaggy.NewSubcommand("new")
+	newKey.Description = "print a new API key and its digest for the rules"
+	key.AttachSubcommand(newKey, 1)
 	for _, c := range []*flaggy.Subcommand{fetch, diff, publish} {
 		c.String(&args.storeText, "s", "store", "address of the configuration store")
 	}
@@ -66,7 +72,7 @@
 	publish.String(&args.operator, "o", "by", "operator's name, stored with the version")
 	publish.UInt64(&args.base, "b", "base", "version that the file is based on; by default the one in its first line")
 	status.Bool(&args.details, "d", "details", "also show backend servers")
-	for _, c := range []*flaggy.Subcommand{check, fetch, diff, publish, status, explain} {
+	for _, c := range []*flaggy.Subcommand{check, fetch, diff, publish, status, explain, key} {
 		flaggy.AttachSubcommand(c, 1)
 	}
 	flaggy.Parse()
@@ -95,6 +101,8 @@
 		return exitCode(c.Status(ctx, args.details))
 	case explain.Used:
 		return exitCode(c.Explain(args.file, args.method, args.path))
+	case newKey.Used:
+		return exitCode(c.NewKey())
 	}
 	flaggy.ShowHelp("")
 	return exitUsage
--- a/control/control.go
+++ b/control/control.go
@@ -302,6 +302,12 @@
 		return nil
 	}
 	fmt.Fprintf(control.Out, "%s %s\n", method, path)
+	switch {
+	case route.Public:
+		fmt.Fprintln(control.Out, "  public: passes without a key")
+	case set.KeysRequired():
+		fmt.Fprintln(control.Out, "  needs the key of a team, else callers get 401")
+	}
 	fmt.Fprintf(control.Out, "  route %s%s/ (line %d): service %s, deadline %s  # %s\n",
 		route.Host, route.Prefix, route.Line, strings.Join(route.Services(), " or "), route.Timeout, route.RequestedBy)
 	for _, name := range route.Services() {
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -51,7 +51,7 @@
 	digest, ok := ParseDigest(words[1].text)
 	if !ok {
 		// The word is not quoted: it may be the key itself.
-		parser.fail(KindValue, words[1].column, "the key is not a SHA-256 digest", "write the digest that sequoiaspanctl key prints, sha256: and 64 hexadecimal digits")
+		parser.fail(KindValue, words[1].column, "the key is not a SHA-256 digest", "write the digest that sequoiaspanctl key new prints, sha256: and 64 hexadecimal digits")
 	}
 	k := key{line: parser.line}
 	ok = parser.parseOptions(words, optionParsers{
--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -20,6 +20,7 @@
 	instances "github.com/sequoiaspan/sequoiaspan/adapters/instances/http"
 	store "github.com/sequoiaspan/sequoiaspan/adapters/store/http"
 	"github.com/sequoiaspan/sequoiaspan/control"
+	"github.com/sequoiaspan/sequoiaspan/core/rules"
 	"github.com/sequoiaspan/sequoiaspan/daemon"
 	"github.com/sequoiaspan/sequoiaspan/settings"
 	"github.com/sequoiaspan/sequoiaspan/testing/standin"
@@ -36,8 +37,13 @@
 	readyTimeout = 20 * time.Second
 )
 
-const rulesText = `service balances floor=75% slots=4 attempts=3 ejection=cautious  # asked by: treasury, FG-112
+// callerKey is the API key of the callers' team.
+const callerKey = "quickstart-key"
+
+var rulesText = `service balances floor=75% slots=4 attempts=3 ejection=cautious  # asked by: treasury, FG-112
 route /balances service=balances deadline=5s                     # asked by: guides desk, FG-114
+team guides limit=500/s burst=1000                               # asked by: sales, FG-150
+key ` + rules.DigestKey(callerKey).String() + ` team=guides  # asked by: sales, FG-150
 `
 
 func main() {
@@ -236,6 +242,7 @@
 	if err != nil {
 		return
 	}
+	r.Header.Set("Authorization", "Bearer "+callerKey)
 	response, err := client.Do(r)
 	whole := false
 	if err == nil {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -90,6 +90,8 @@
 	authority limit.Authority
 	probeAt   time.Time // of the next probe of the other instances in rank
 	usedAt    time.Time
+	standsIn  bool // another instance is ranked first
+	limited   bool // grants come from the reserve only
 }
 
 func (keeper *Keeper) shard(team string) *shard {
@@ -219,9 +221,27 @@
 		c.probeAt = now.Add(probeInterval)
 		keeper.start(func() { keeper.probe(context.WithoutCancel(ctx), ranked, team) })
 	}
+	keeper.recordRole(c, team, ranked, !first, !full, now.Sub(heardAt))
 	return c.counter.Take(now, rate, keeper.Tolerance, !full, want)
 }
 
+// recordRole logs a change of the role in which this instance counts a team.
+func (keeper *Keeper) recordRole(c *count, team string, ranked []entry.Peer, standsIn, limited bool, platformAge time.Duration) {
+	if c.standsIn == standsIn && c.limited == limited {
+		return
+	}
+	c.standsIn, c.limited = standsIn, limited
+	if !standsIn && !limited {
+		keeper.Log.Info("quota: counting a team as the first in rank again", zap.String("team", team))
+		return
+	}
+	fields := []zap.Field{zap.String("team", team), zap.Bool("in-full", !limited), zap.Duration("platform-age", platformAge)}
+	if len(ranked) > 0 {
+		fields = append(fields, zap.String("first-in-rank", ranked[0].Name))
+	}
+	keeper.Log.Info("quota: counting a team without contact to the other instances that count it", fields...)
+}
+
 // start runs a function in the background.
 func (keeper *Keeper) start(f func()) {
 	if keeper.spawn != nil {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -296,3 +296,28 @@
 		must.True(t, w.keepers[1].Admit(context.Background(), team).Admitted)
 	}
 }
+
+// TestStandingSharesRefuseWithinTheLimit plays the alternative of standing shares, in which each instance has its part of the limit, beside the
+// counter. Teams with few requests at each instance are refused within their limit.
+func TestStandingSharesRefuseWithinTheLimit(t *testing.T) {
+	const instances = 102
+	for _, rate := range []float64{5, 14, 60, 200} {
+		random := rand.New(rand.NewPCG(1, 4))
+		w := newWorld(instances, limit.Limit{Rate: rate, Burst: rate})
+		shares := make([]limit.Bucket, instances)
+		share := limit.Limit{Rate: rate / instances, Burst: max(1, rate/instances)}
+		asked, refused := 0, 0
+		w.play(random, 20*time.Second, func(time.Duration) float64 { return 0.62 * rate }, func(at time.Duration) {
+			for n := 0.62 * rate * step.Seconds(); random.Float64() < n; n-- {
+				asked++
+				if taken, _ := shares[random.IntN(instances)].Take(w.now, share, 1); taken == 0 {
+					refused++
+				}
+			}
+		})
+		t.Logf("%3.0f requests/s: standing shares refuse %.1f %% within the limit and may admit %.2f of the bound at once, the counter refuses %.1f %%",
+			rate, 100*float64(refused)/float64(asked), instances*share.Burst/w.bound(), 100*float64(w.refused)/float64(w.owed))
+		must.Eq(t, 0, w.refused)
+		must.Greater(t, 0, refused)
+	}
+}
