Wait longer for tokens, and ask silent counters last rather than not at all

Change: an instance waits 250 ms for tokens, and asks up to two of the counters that did not answer a moment ago before it decides alone.

--- a/adapters/peer/yamux/quota.go
+++ b/adapters/peer/yamux/quota.go
@@ -10,10 +10,14 @@
 	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
+// tokensTimeout is the longest wait for tokens. It is longer than that for other replies: an instance without processor time finds all
+// others slow, and a refusal for want of a count costs the caller more than the wait.
+const tokensTimeout = 250 * time.Millisecond
+
 // TakeTokens requests tokens of a team's limit from the instance that counts the team. It implements quota.Link.
 func (client *Client) TakeTokens(ctx context.Context, to entry.Peer, team string, want int) (limit.Grant, error) {
 	frame := &wire.Frame{Body: &wire.Frame_Tokens{Tokens: &wire.Tokens{Team: team, Want: uint32(want)}}}
-	reply, err := client.call(ctx, "take-tokens", to, frame)
+	reply, err := client.callWithTimeout(ctx, "take-tokens", to, frame, max(tokensTimeout, client.ResponseTimeout))
 	if err != nil {
 		return limit.Grant{}, err
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -55,6 +55,7 @@
 // Enforcement parameters.
 const (
 	maxCounters      = 4                      // instances that are asked, one after the other, while the ones before are silent
+	maxSilentAsked   = 2                      // of these, those that are asked although they did not answer a moment ago
 	probeInterval    = 100 * time.Millisecond // between probes of the other instances that count a team
 	probeAfter       = 800 * time.Millisecond // without contact with the platform after which the first in rank probes the others
 	countsInterval   = 500 * time.Millisecond // between messages with the counts of teams near their limit
@@ -144,11 +145,7 @@
 		return Decision{Admitted: admitted, RetryAt: retryAt, Limit: rate, DecidedBy: keeper.Name}
 	}
 	ranked, live := keeper.Fleet.Counters(team, maxCounters)
-	for _, counter := range ranked {
-		grant, answered := keeper.take(ctx, counter, team, want)
-		if !answered {
-			continue
-		}
+	if grant, counter, answered := keeper.takeFromAny(ctx, ranked, team, want); answered {
 		shard.mu.Lock()
 		admitted, retryAt = shard.cache(team).Fill(keeper.Clock(), grant)
 		shard.mu.Unlock()
@@ -163,14 +160,32 @@
 	return Decision{Admitted: admitted, Unknown: !admitted, RetryAt: now.Add(unknownRetryTime), Limit: rate}
 }
 
-// take takes tokens from the instance that counts a team, which may be this one. It returns false if it does not answer.
-func (keeper *Keeper) take(ctx context.Context, counter entry.Peer, team string, want int) (limit.Grant, bool) {
-	if counter.Name == keeper.Name {
-		return keeper.HandleTakeTokens(ctx, team, want), true
+// takeFromAny takes tokens from the first instance in rank that answers, and returns that instance. Instances that did not answer a moment
+// ago come last: they may only have been slow.
+func (keeper *Keeper) takeFromAny(ctx context.Context, ranked []entry.Peer, team string, want int) (limit.Grant, entry.Peer, bool) {
+	var silent []entry.Peer
+	for _, counter := range ranked {
+		if counter.Name == keeper.Name {
+			return keeper.HandleTakeTokens(ctx, team, want), counter, true
+		}
+		if !keeper.Link.Reachable(counter.Name) {
+			silent = append(silent, counter)
+			continue
+		}
+		if grant, answered := keeper.take(ctx, counter, team, want); answered {
+			return grant, counter, true
+		}
 	}
-	if !keeper.Link.Reachable(counter.Name) {
-		return limit.Grant{}, false
+	for _, counter := range silent[:min(maxSilentAsked, len(silent))] {
+		if grant, answered := keeper.take(ctx, counter, team, want); answered {
+			return grant, counter, true
+		}
 	}
+	return limit.Grant{}, entry.Peer{}, false
+}
+
+// take takes tokens from another instance that counts a team. It returns false if it does not answer.
+func (keeper *Keeper) take(ctx context.Context, counter entry.Peer, team string, want int) (limit.Grant, bool) {
 	grant, err := keeper.Link.TakeTokens(ctx, counter, team, want)
 	if err != nil {
 		keeper.Log.Debug("quota: the instance that counts a team did not answer", zap.String("team", team), zap.String("instance", counter.Name), zap.Error(err))
