Count a team from scratch after a pause of the process or of its authority

An instance that was stopped for seconds, or admitted from the reserve only, went on with a bucket that time had refilled, while another one had counted the team.

Change: such a count has no history; a counter without one admits a quarter of the reserve at once, so that several in a window stay below it.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -21,7 +21,7 @@
 const (
 	servingOvershoot = 0.5  // of the overshoot, added to the limit that a counter admits
 	servingSlack     = 0.25 // of the slack, added to the burst that a counter admits
-	takeoverShare    = 0.4  // of the reserve, that a counter without a history may admit at once
+	takeoverShare    = 0.25 // of the reserve, that a counter without a history may admit at once
 	actingShare      = 0.3  // of the reserve, that an instance in place of a silent counter may admit at once
 	actingRefill     = 0.15 // of the reserve, that it may admit in each window after that
 	aloneShare       = 0.1  // of the reserve, divided among all instances, that those which reach no counter may admit at once
@@ -82,6 +82,9 @@
 	counter.bucket.spend(now, serving, max(1, takeoverShare*tolerance.reserve(limit)))
 }
 
+// Forget makes the counter one without a history: another instance may have counted the team meanwhile.
+func (counter *Counter) Forget() { counter.started = false }
+
 // Take takes up to want tokens. A provisional counter acts for another one that may be counting out of its sight, and admits
 // only what the tolerance leaves.
 func (counter *Counter) Take(now time.Time, limit Limit, tolerance Tolerance, provisional bool, want int) Grant {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -60,6 +60,7 @@
 	probeAfter       = 800 * time.Millisecond // without contact with the platform after which the first in rank probes the others
 	countsInterval   = 500 * time.Millisecond // between messages with the counts of teams near their limit
 	unknownRetryTime = 100 * time.Millisecond // for callers that no counter could decide on
+	pausedAfter      = 2 * countsInterval     // without activity after which the process was paused
 	idleTTL          = time.Minute            // without requests after which a team's state is dropped
 	shardCount       = 32
 )
@@ -74,8 +75,27 @@
 	Log       *zap.Logger
 	Metrics   metrics.Registry
 
-	shards [shardCount]shard
-	spawn  func(func()) // starts background work; nil for a goroutine
+	shards   [shardCount]shard
+	activity activity
+	spawn    func(func()) // starts background work; nil for a goroutine
+}
+
+// activity detects that the process was paused.
+type activity struct {
+	mu        sync.Mutex
+	latest    time.Time
+	resumedAt time.Time
+}
+
+// observe records that the process runs, and returns when it last resumed after a pause.
+func (activity *activity) observe(now time.Time) time.Time {
+	activity.mu.Lock()
+	defer activity.mu.Unlock()
+	if now.Sub(activity.latest) > pausedAfter {
+		activity.resumedAt = now
+	}
+	activity.latest = now
+	return activity.resumedAt
 }
 
 // shard holds the state of some of the teams.
@@ -91,6 +111,7 @@
 	authority limit.Authority
 	probeAt   time.Time // of the next probe of the other instances in rank
 	usedAt    time.Time
+	checkedAt time.Time
 	standsIn  bool // another instance is ranked first
 	limited   bool // grants come from the reserve only
 }
@@ -225,6 +246,10 @@
 	defer shard.mu.Unlock()
 	c := shard.count(team)
 	c.usedAt = now
+	if resumedAt := keeper.activity.observe(now); c.checkedAt.Before(resumedAt) {
+		c.counter.Forget()
+	}
+	c.checkedAt = now
 	first := len(ranked) > 0 && ranked[0].Name == keeper.Name
 	full := false
 	if first {
@@ -240,11 +265,14 @@
 	return c.counter.Take(now, rate, keeper.Tolerance, !full, want)
 }
 
-// recordRole logs a change of the role in which this instance counts a team.
+// recordRole logs a change of the role in which this instance counts a team. Its count from before it was limited is out of date.
 func (keeper *Keeper) recordRole(c *count, team string, ranked []entry.Peer, standsIn, limited bool, platformAge time.Duration) {
 	if c.standsIn == standsIn && c.limited == limited {
 		return
 	}
+	if c.limited && !limited {
+		c.counter.Forget()
+	}
 	c.standsIn, c.limited = standsIn, limited
 	if !standsIn && !limited {
 		keeper.Log.Info("quota: counting a team as the first in rank again", zap.String("team", team))
@@ -336,6 +364,7 @@
 // sendCounts sends the counts of teams that this instance counted a moment ago and that are near their limit.
 func (keeper *Keeper) sendCounts(ctx context.Context) {
 	now := keeper.Clock()
+	keeper.activity.observe(now)
 	byPeer := map[entry.Peer][]Count{}
 	for i := range keeper.shards {
 		shard := &keeper.shards[i]
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -30,6 +30,7 @@
 	limit   limit.Limit
 	keepers []*Keeper
 	down    []bool      // killed and not yet restarted
+	paused  []bool      // stopped by a signal, with its state
 	listed  []bool      // on the platform's list
 	side    []int       // of a network partition
 	heardAt []time.Time // when each instance last heard of the platform, which is on side 0
@@ -44,7 +45,7 @@
 	w := &world{now: time.Unix(1_800_000_000, 0), limit: rate}
 	for i := range instances {
 		w.keepers = append(w.keepers, nil)
-		w.down, w.listed, w.side, w.heardAt = append(w.down, false), append(w.listed, true), append(w.side, 0), append(w.heardAt, w.now)
+		w.down, w.paused, w.listed, w.side, w.heardAt = append(w.down, false), append(w.paused, false), append(w.listed, true), append(w.side, 0), append(w.heardAt, w.now)
 		w.start(i)
 	}
 	return w
@@ -91,7 +92,7 @@
 
 func (n node) peer(to string) (*Keeper, error) {
 	for i, keeper := range n.keepers {
-		if name(i) == to && !n.down[i] && n.side[i] == n.side[n.index] {
+		if name(i) == to && !n.down[i] && !n.paused[i] && n.side[i] == n.side[n.index] {
 			return keeper, nil
 		}
 	}
@@ -161,14 +162,14 @@
 			run()
 		}
 		for i := range w.keepers {
-			if w.side[i] == 0 && !w.down[i] {
+			if w.side[i] == 0 && !w.down[i] && !w.paused[i] {
 				w.heardAt[i] = w.now.Add(-500 * time.Millisecond)
 			}
 		}
 		if at >= nextCounts {
 			nextCounts += countsInterval
 			for i, keeper := range w.keepers {
-				if !w.down[i] {
+				if !w.down[i] && !w.paused[i] {
 					keeper.sendCounts(context.Background())
 				}
 			}
@@ -182,7 +183,7 @@
 
 func (w *world) request(random *rand.Rand, allowed *float64) {
 	i := random.IntN(len(w.keepers))
-	if w.down[i] {
+	if w.down[i] || w.paused[i] {
 		return
 	}
 	owed := *allowed >= 1
@@ -265,6 +266,52 @@
 	t.Logf("most requests in a window: %.2f of the bound", worst)
 }
 
+// TestHoldsTheLimitThroughSeriesOfFaults presses several times the limit of a small fleet while the instances that count are killed and paused
+// in quick succession, also those that stand in.
+func TestHoldsTheLimitThroughSeriesOfFaults(t *testing.T) {
+	worst := 0.0
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		rate := limit.Limit{Rate: 5 + 60*random.Float64()}
+		rate.Burst = rate.Rate
+		w := newWorld(6, rate)
+		type fault struct {
+			target      int
+			pause       bool
+			from, until time.Duration
+		}
+		var faults []fault
+		for range 4 + random.IntN(6) {
+			f := fault{target: random.IntN(3), pause: random.IntN(2) == 0, from: 3*time.Second + time.Duration(random.IntN(1400))*step}
+			f.until = f.from + time.Duration(60+random.IntN(600))*step
+			if !f.pause {
+				f.until = f.from + time.Duration(60+random.IntN(100))*step
+			}
+			faults = append(faults, f)
+		}
+		w.play(random, 20*time.Second, func(time.Duration) float64 { return 4 * rate.Rate }, func(at time.Duration) {
+			for _, f := range faults {
+				switch {
+				case f.pause && (at == f.from || at == f.until):
+					w.paused[f.target] = at == f.from
+				case at == f.from:
+					w.down[f.target] = true
+				case at == f.until:
+					w.start(f.target)
+					w.down[f.target] = false
+				}
+			}
+		})
+		most, end := w.busiestWindow()
+		share := float64(most) / w.bound()
+		worst = max(worst, share)
+		if share > 1 {
+			t.Errorf("seed %d: %d requests in the window until %v, %.2f of the bound; limit %.0f; %v", seed, most, end.Sub(w.began), share, rate.Rate, faults)
+		}
+	}
+	t.Logf("most requests in a window: %.2f of the bound", worst)
+}
+
 // TestReturnedTokensAreUsedAgain checks that requests that were not run do not use up the limit.
 func TestReturnedTokensAreUsedAgain(t *testing.T) {
 	w := newWorld(5, limit.Limit{Rate: 5, Burst: 10})
