Let a request whose key moved to another team go on as one of that team

Cause: a request that waited while its key moved was refused with 401 although its key was in force.

Change: at the moment of sending the request takes the team that holds its key then; what it used of a limit goes back to the team that it was admitted for. Lines on malformed credentials have no digest.

--- a/adapters/caller/http/authorization.go
+++ b/adapters/caller/http/authorization.go
@@ -33,16 +33,18 @@
 	return route.Public
 }
 
-// stillAuthorized reports whether the rules in force still let the request pass, on its route and as the same team: it may have
-// waited while a key was withdrawn or moved to another team.
+// stillAuthorized reports whether the rules in force still let the request pass: it may have waited while its key was withdrawn. A
+// request whose key has moved to another team goes on as one of that team.
 func (exchange *exchange) stillAuthorized() bool {
 	set, version := exchange.handler.Entry.Rules()
 	if version == exchange.rulesVersion {
 		return true
 	}
-	exchange.rulesVersion = version
-	info := dialect.RequestInfo{Team: exchange.info.Team, Credential: exchange.info.Credential}
-	return authorize(set, exchange.route, &info) && info.Team == exchange.info.Team
+	if !authorize(set, exchange.route, &exchange.info) {
+		return false
+	}
+	exchange.rulesVersion, exchange.keysRequired = version, set.KeysRequired()
+	return true
 }
 
 // admit takes one request of a team's limit. It refuses the request and returns false if there is none.
--- a/adapters/caller/http/decisions.go
+++ b/adapters/caller/http/decisions.go
@@ -256,7 +256,10 @@
 		zap.String("team", info.Team), zap.Uint64("rules-version", version), handler.Entry.LoggedListAge(now),
 	}
 	if info.Credential.Presented {
-		fields = append(fields, zap.Bool("key-well-formed", info.Credential.Valid), zap.String("key", info.Credential.Digest.Short()))
+		fields = append(fields, zap.Bool("key-well-formed", info.Credential.Valid))
+	}
+	if info.Credential.Valid {
+		fields = append(fields, zap.String("key", info.Credential.Digest.Short()))
 	}
 	return append(fields, answerFields(now, answer)...)
 }
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -25,6 +25,7 @@
 	priority      int    // of the team, or of the route
 	rulesVersion  uint64 // version that let the request pass
 	keysRequired  bool
+	limitedTeam   string // team whose limit the request counts towards
 	service       *rules.Service
 	slice         home.Slice
 	body          *body
@@ -317,7 +318,7 @@
 // settle ends the request's claim, and gives back what a request that was not run used of its team's limit.
 func (exchange *exchange) settle(settlement idempotency.Settlement) {
 	if settlement.NotRun {
-		exchange.handler.returnQuota(exchange.info.Team)
+		exchange.handler.returnQuota(exchange.limitedTeam)
 	}
 	if exchange.claim == nil {
 		return
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -155,7 +155,8 @@
 		return
 	}
 	exchange := newExchange(handler, w, r, route, set.Service(route.PickService(handler.splitPoint(route))), info, body)
-	exchange.rulesVersion, exchange.keysRequired, exchange.priority = version, set.KeysRequired(), priority(set, route, info.Team)
+	exchange.rulesVersion, exchange.keysRequired = version, set.KeysRequired()
+	exchange.limitedTeam, exchange.priority = info.Team, priority(set, route, info.Team)
 	exchange.run()
 }
 
