Split the code of limits by its parts

core/limit: the tolerance and its shares, counters, their authority, cached tokens. quota: what decides a request, and what counts a team. No behaviour changes; the tests of both packages pass.

--- /dev/null
+++ b/quota/counting.go
@@ -0,0 +1,230 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sequoiaspan/sequoiaspan/core/limit"
+	"github.com/sequoiaspan/sequoiaspan/entry"
+)
+
+// count is the state of a team that this instance counts.
+type count struct {
+	counter   limit.Counter
+	authority limit.Authority
+	probeAt   time.Time // of the next probe of the other instances in rank
+	usedAt    time.Time
+	checkedAt time.Time
+	standsIn  bool // another instance is ranked first
+	limited   bool // grants come from the reserve only
+}
+
+// count returns the state of a team that is counted here. The caller holds the lock.
+func (shard *shard) count(team string) *count {
+	if shard.counts == nil {
+		shard.counts = map[string]*count{}
+	}
+	c := shard.counts[team]
+	if c == nil {
+		c = &count{}
+		shard.counts[team] = c
+	}
+	return c
+}
+
+// activity detects that the process was paused.
+type activity struct {
+	mu        sync.Mutex
+	latest    time.Time
+	resumedAt time.Time
+}
+
+// observe records that the process runs, and returns when it last resumed after a pause.
+func (activity *activity) observe(now time.Time) time.Time {
+	activity.mu.Lock()
+	defer activity.mu.Unlock()
+	if now.Sub(activity.latest) > pausedAfter {
+		activity.resumedAt = now
+	}
+	activity.latest = now
+	return activity.resumedAt
+}
+
+// HandleTakeTokens grants tokens of a team's limit to another instance, or to this one.
+func (keeper *Keeper) HandleTakeTokens(ctx context.Context, team string, want int) limit.Grant {
+	ranked, _ := keeper.Fleet.Counters(team, maxCounters)
+	now := keeper.Clock()
+	rate := keeper.Fleet.TeamLimit(team)
+	heardAt := keeper.Fleet.PlatformHeardAt()
+	shard := keeper.shard(team)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	c := shard.count(team)
+	c.usedAt = now
+	if resumedAt := keeper.activity.observe(now); c.checkedAt.Before(resumedAt) {
+		c.counter.Forget()
+	}
+	c.checkedAt = now
+	first := len(ranked) > 0 && ranked[0].Name == keeper.Name
+	full := false
+	if first {
+		full = c.authority.First(now, heardAt)
+	} else {
+		full = c.authority.InPlaceOf(now, heardAt)
+	}
+	if !now.Before(c.probeAt) && (!first || now.Sub(heardAt) > probeAfter) {
+		c.probeAt = now.Add(probeInterval)
+		keeper.start(func() { keeper.probe(context.WithoutCancel(ctx), ranked, team) })
+	}
+	keeper.recordRole(c, team, ranked, !first, !full, now.Sub(heardAt))
+	return c.counter.Take(now, rate, keeper.Tolerance, !full, want)
+}
+
+// recordRole logs a change of the role in which this instance counts a team. Its count from before it was limited is out of date.
+func (keeper *Keeper) recordRole(c *count, team string, ranked []entry.Peer, standsIn, limited bool, platformAge time.Duration) {
+	if c.standsIn == standsIn && c.limited == limited {
+		return
+	}
+	if c.limited && !limited {
+		c.counter.Forget()
+	}
+	c.standsIn, c.limited = standsIn, limited
+	if !standsIn && !limited {
+		keeper.Log.Info("quota: counting a team as the first in rank again", zap.String("team", team))
+		return
+	}
+	fields := []zap.Field{zap.String("team", team), zap.Bool("in-full", !limited), zap.Duration("platform-age", platformAge)}
+	if len(ranked) > 0 {
+		fields = append(fields, zap.String("first-in-rank", ranked[0].Name))
+	}
+	keeper.Log.Info("quota: counting a team without contact to the other instances that count it", fields...)
+}
+
+// start runs a function in the background.
+func (keeper *Keeper) start(f func()) {
+	if keeper.spawn != nil {
+		keeper.spawn(f)
+		return
+	}
+	go f()
+}
+
+// probe asks the other instances in rank whether they are there, and the first of them for the tokens that callers of this one asked
+// for meanwhile.
+func (keeper *Keeper) probe(ctx context.Context, ranked []entry.Peer, team string) {
+	shard := keeper.shard(team)
+	shard.mu.Lock()
+	want := shard.count(team).counter.Missing()
+	shard.mu.Unlock()
+	first, others, relayed := false, true, 0
+	for i, counter := range ranked {
+		if counter.Name == keeper.Name {
+			continue
+		}
+		if i > 0 {
+			want = 0
+		}
+		grant, err := keeper.Link.TakeTokens(ctx, counter, team, want)
+		first = first || i == 0 && err == nil
+		others = others && err == nil
+		relayed += grant.Tokens
+	}
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	c := shard.count(team)
+	c.authority.ObserveFirst(first)
+	c.authority.ObserveOthers(others)
+	c.counter.Relay(keeper.Clock(), relayed)
+}
+
+// HandleReturnTokens takes back tokens of requests that were not run.
+func (keeper *Keeper) HandleReturnTokens(team string, tokens int) {
+	shard := keeper.shard(team)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.count(team).counter.Return(tokens)
+}
+
+// HandleCounts applies counts of another instance.
+func (keeper *Keeper) HandleCounts(counts []Count) {
+	now := keeper.Clock()
+	for _, received := range counts {
+		rate := keeper.Fleet.TeamLimit(received.Team)
+		if rate.Rate <= 0 {
+			continue
+		}
+		shard := keeper.shard(received.Team)
+		shard.mu.Lock()
+		c := shard.count(received.Team)
+		c.counter.Inherit(now, rate, keeper.Tolerance, received.Used)
+		c.usedAt = now
+		shard.mu.Unlock()
+	}
+}
+
+// Run sends the counts of teams near their limit to the instances that would count them next, until the context ends.
+func (keeper *Keeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(countsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			keeper.sendCounts(ctx)
+		}
+	}
+}
+
+// sendCounts sends the counts of teams that this instance counted a moment ago and that are near their limit.
+func (keeper *Keeper) sendCounts(ctx context.Context) {
+	now := keeper.Clock()
+	keeper.activity.observe(now)
+	byPeer := map[entry.Peer][]Count{}
+	for i := range keeper.shards {
+		shard := &keeper.shards[i]
+		for _, counted := range keeper.pressing(now, shard) {
+			ranked, _ := keeper.Fleet.Counters(counted.Team, 2)
+			for _, other := range ranked {
+				if other.Name != keeper.Name && keeper.Link.Reachable(other.Name) {
+					byPeer[other] = append(byPeer[other], counted)
+				}
+			}
+		}
+	}
+	for peer, counts := range byPeer {
+		if err := keeper.Link.SendCounts(ctx, peer, counts); err != nil {
+			keeper.Log.Debug("quota: counts could not be sent", zap.String("instance", peer.Name), zap.Error(err))
+		}
+	}
+}
+
+// pressing returns the counts of a shard's teams that are near their limit, and drops the state of idle teams.
+func (keeper *Keeper) pressing(now time.Time, shard *shard) []Count {
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	var counts []Count
+	for team, c := range shard.counts {
+		idle := now.Sub(c.usedAt)
+		if idle > idleTTL {
+			delete(shard.counts, team)
+			continue
+		}
+		rate := keeper.Fleet.TeamLimit(team)
+		if idle > 2*countsInterval || rate.Rate <= 0 {
+			continue
+		}
+		if used, pressing := c.counter.Used(now, rate, keeper.Tolerance); pressing {
+			counts = append(counts, Count{team, used})
+		}
+	}
+	for team, cache := range shard.caches {
+		if cache.Idle(now) > idleTTL {
+			delete(shard.caches, team)
+		}
+	}
+	return counts
+}
