--- a/testing/soak/soak_test.go
+++ b/testing/soak/soak_test.go
@@ -41,6 +41,7 @@
 var failedSeeds = []uint64{
 	112,  // a repeated SIGTERM ended the process and the requests in flight with it
 	4014, // SIGHUP ended a process that had just been started
+	5,    // an instance that had been stopped went on with a count of a team that time had refilled
 }
 
 // TestSoak plays plans of faults.
