--- a/adapters/caller/http/http_test.go
+++ b/adapters/caller/http/http_test.go
@@ -26,10 +26,15 @@
 	return f(request, progress)
 }
 
-func newTestHandler(send senderFunc) *Handler {
-	address := netip.MustParseAddrPort("127.0.0.1:9")
+func newEntryWithoutRules() *entry.Entry {
 	e := &entry.Entry{Name: "entry-0", Incarnation: "entry-0/1"}
 	e.Init()
+	return e
+}
+
+func newTestHandler(send senderFunc) *Handler {
+	address := netip.MustParseAddrPort("127.0.0.1:9")
+	e := newEntryWithoutRules()
 	e.ApplyList(instance.List{
 		Entries: []instance.Entry{{Name: "entry-0", Domain: "domain-0", Caller: address, Peer: address}},
 		Servers: []instance.Server{{Name: "payouts-0", Service: "payouts", Domain: "domain-0", Address: address}},
