Keep tokens that first attempts earned for a second beyond a full retry budget

Change: earned tokens stay for a second even if the budget is full. They belong to requests of the same or the previous window.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Token budgets: first attempts earn tokens; retries, hedges and verifications spend them.
 //
@@ -17,20 +20,36 @@
 	verifyBurst       = 8.0
 )
 
+// earnedMemory is how long tokens that first attempts earned stay in a full budget: at many requests a second some attempts fail at once.
+const earnedMemory = time.Second
+
 // budget limits additional attempts to a share of the first attempts. The zero value is full.
 type budget struct {
-	spent      float64
+	spent      float64 // below 0 by up to saved
+	saved      float64 // earned of late, decaying over earnedMemory
 	refilledAt time.Time
 }
 
+// earn adds tokens up to a full budget.
 func (budget *budget) earn(tokens float64) {
 	budget.spent = max(0, budget.spent-tokens)
 }
 
-// refill adds the tokens of the time since the latest refill.
+// save adds tokens beyond a full budget, for earnedMemory.
+func (budget *budget) save(tokens float64) {
+	budget.saved += tokens
+	budget.spent = max(-budget.saved, budget.spent-tokens)
+}
+
+// refill adds the tokens of the time since the latest refill up to a full budget.
 func (budget *budget) refill(now time.Time, perSecond float64) {
 	if !budget.refilledAt.IsZero() {
-		budget.earn(perSecond * now.Sub(budget.refilledAt).Seconds())
+		elapsed := now.Sub(budget.refilledAt).Seconds()
+		budget.saved *= math.Exp(-elapsed / earnedMemory.Seconds())
+		if budget.spent > 0 {
+			budget.earn(perSecond * elapsed)
+		}
+		budget.spent = max(-budget.saved, budget.spent)
 	}
 	budget.refilledAt = now
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -275,7 +275,7 @@
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
 		}
 		pool.lossMonitor.recordArrival(now)
-		pool.budget.earn(pool.policy.RetryShare)
+		pool.budget.save(pool.policy.RetryShare)
 		pool.verifyBudget.earn(verifyShare)
 	} else if !pool.budget.spend(pool.policy.maxSpent(ask.Hedge)) {
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(overBudgetRetryAfter)}
--- a/dialect/credential.go
+++ b/dialect/credential.go
@@ -7,7 +7,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
 )
 
-// authorizationHeader carries the caller's API key. It is for sequoiaspan alone and never forwarded.
+// authorizationHeader carries the caller's API key. Where the rules require keys it is for sequoiaspan alone and not forwarded.
 const authorizationHeader = "Authorization"
 
 // maxKeyBytes limits the length of an API key.
