Admit less from the reserve for each takeover of a team's count

The log shows the count move from one instance to another three times within ten seconds, as three were killed in a row, a third was cut off and the store failed five times; each new one admitted a quarter of the reserve, and each of three stand-ins three tenths.

Change: 0.15 of the reserve each, and 0.1 in each window for a stand-in.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -18,9 +18,9 @@
 const (
 	servingOvershoot = 0.5  // of the overshoot, added to the limit that a counter admits
 	servingSlack     = 0.25 // of the slack, added to the burst that a counter admits
-	takeoverShare    = 0.25 // of the reserve, that a counter without a history may admit at once
-	actingShare      = 0.3  // of the reserve, that an instance in place of a silent counter may admit at once
-	actingRefill     = 0.15 // of the reserve, that it may admit in each window after that
+	takeoverShare    = 0.15 // of the reserve, that a counter without a history may admit at once
+	actingShare      = 0.15 // of the reserve, that an instance in place of a silent counter may admit at once
+	actingRefill     = 0.1  // of the reserve, that it may admit in each window after that
 	aloneShare       = 0.1  // of the reserve, divided among all instances, that those which reach no counter may admit at once
 	aloneRefill      = 0.1  // of the reserve, divided among all instances, that they may admit in each window after that
 )
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -58,7 +58,8 @@
 	fresh := Counter{}
 	grant := fresh.Take(start, limit, tolerance, false, 1000)
 	must.LessEq(t, takeoverShare*tolerance.reserve(limit), float64(grant.Tokens))
-	must.Greater(t, 10, grant.Tokens)
+	// What it admits serves callers within the limit until tokens are refilled.
+	must.GreaterEq(t, limit.Rate/20, float64(grant.Tokens))
 
 	// One that has inherited the count of an exhausted counter admits nothing.
 	exhausted := Counter{}
--- a/testing/soak/soak_test.go
+++ b/testing/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -41,6 +42,7 @@
 var failedSeeds = []uint64{
 	112,  // a repeated SIGTERM ended the process and the requests in flight with it
 	4014, // SIGHUP ended a process that had just been started
+	3,    // three instances in a row were killed, and each that counted a team next admitted too much without a history
 	5,    // an instance that had been stopped went on with a count of a team that time had refilled
 }
 
@@ -49,7 +51,9 @@
 	program := platform.BuildProgram(t)
 	played := failedSeeds
 	for i := range *seeds {
-		played = append(played, *firstSeed+uint64(i))
+		if seed := *firstSeed + uint64(i); !slices.Contains(played, seed) {
+			played = append(played, seed)
+		}
 	}
 	for _, seed := range played {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
