--- a/adapters/caller/http/authorization.go
+++ b/adapters/caller/http/authorization.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"go.uber.org/zap"
+
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
@@ -60,9 +62,8 @@
 	if decision.Unknown {
 		reason = retry.ReasonLimitUnknown
 	}
-	answer := retry.Answer{ExecutionStatus: retry.NotRun, Reason: reason, RetryAt: decision.RetryAt}
-	handler.logOverLimit(r, info, answer, decision)
-	handler.answer(w, r, answer)
+	handler.refuse(w, r, info, reason, decision.RetryAt,
+		zap.Float64("limit", decision.Limit.Rate), zap.Float64("burst", decision.Limit.Burst), zap.String("decided-by", decision.DecidedBy))
 	return false
 }
 
--- a/adapters/caller/http/decisions.go
+++ b/adapters/caller/http/decisions.go
@@ -13,7 +13,6 @@
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
-	"github.com/sequoiaspan/sequoiaspan/quota"
 )
 
 // The decision log contains all lines of requests that fail, are late or are retried, and one line per second of a
@@ -232,23 +231,10 @@
 }
 
 // logRejected logs a request that was rejected before any grant was requested.
-func (handler *Handler) logRejected(r *http.Request, info *dialect.RequestInfo, answer retry.Answer) {
+func (handler *Handler) logRejected(r *http.Request, info *dialect.RequestInfo, answer retry.Answer, more ...zap.Field) {
 	if !handler.admitDetailedLog() {
 		return
 	}
-	handler.Log.Info("request: rejected", handler.rejectionFields(r, info, answer)...)
-}
-
-// logOverLimit logs a request that was rejected because of its team's limit.
-func (handler *Handler) logOverLimit(r *http.Request, info *dialect.RequestInfo, answer retry.Answer, decision quota.Decision) {
-	if !handler.admitDetailedLog() {
-		return
-	}
-	handler.Log.Info("request: rejected", append(handler.rejectionFields(r, info, answer),
-		zap.Float64("limit", decision.Limit.Rate), zap.Float64("burst", decision.Limit.Burst), zap.String("decided-by", decision.DecidedBy))...)
-}
-
-func (handler *Handler) rejectionFields(r *http.Request, info *dialect.RequestInfo, answer retry.Answer) []zap.Field {
 	_, version := handler.Entry.Rules()
 	now := handler.Clock()
 	fields := []zap.Field{
@@ -261,5 +247,5 @@
 	if info.Credential.Valid {
 		fields = append(fields, zap.String("key", info.Credential.Digest.Short()))
 	}
-	return append(fields, answerFields(now, answer)...)
+	handler.Log.Info("request: rejected", append(append(fields, answerFields(now, answer)...), more...)...)
 }
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -160,10 +160,10 @@
 	exchange.run()
 }
 
-// refuse answers a request that was not sent to any backend server.
-func (handler *Handler) refuse(w http.ResponseWriter, r *http.Request, info *dialect.RequestInfo, reason retry.Reason, retryAt time.Time) {
+// refuse answers a request that was not sent to any backend server. Its log line has the further fields.
+func (handler *Handler) refuse(w http.ResponseWriter, r *http.Request, info *dialect.RequestInfo, reason retry.Reason, retryAt time.Time, more ...zap.Field) {
 	answer := retry.Answer{ExecutionStatus: retry.NotRun, Reason: reason, RetryAt: retryAt}
-	handler.logRejected(r, info, answer)
+	handler.logRejected(r, info, answer, more...)
 	handler.answer(w, r, answer)
 }
 
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -94,35 +94,31 @@
 
 // Ranked returns the indices of up to count candidates in rank order.
 func Ranked(slice Slice, candidates []Candidate, count int) []int {
-	key := slice.Key()
-	var chosen []int
-	for len(chosen) < count {
-		next := highestRanked(key, candidates, func(i int) bool { return !slices.Contains(chosen, i) })
-		if next < 0 {
-			break
-		}
-		chosen = append(chosen, next)
-	}
-	return chosen
+	return topRanked(slice.Key(), candidates, count, func(int) bool { return true })
 }
 
 // Watchers returns up to count instances of a failure domain, in rank order, that watch the platform's lists on behalf of the
 // domain's other instances.
 func Watchers(candidates []Candidate, domain string, count int) []instance.Entry {
-	key := Slice{Service: "lists"}.Key()
+	chosen := topRanked(Slice{Service: "lists"}.Key(), candidates, count, func(i int) bool { return candidates[i].Entry.Domain == domain })
+	readers := make([]instance.Entry, 0, len(chosen))
+	for _, i := range chosen {
+		readers = append(readers, candidates[i].Entry)
+	}
+	return readers
+}
+
+// topRanked returns the indices of up to count allowed candidates, highest rank first.
+func topRanked(key uint64, candidates []Candidate, count int, allowed func(int) bool) []int {
 	var chosen []int
 	for len(chosen) < count {
-		next := highestRanked(key, candidates, func(i int) bool { return candidates[i].Entry.Domain == domain && !slices.Contains(chosen, i) })
+		next := highestRanked(key, candidates, func(i int) bool { return allowed(i) && !slices.Contains(chosen, i) })
 		if next < 0 {
 			break
 		}
 		chosen = append(chosen, next)
 	}
-	readers := make([]instance.Entry, 0, len(chosen))
-	for _, i := range chosen {
-		readers = append(readers, candidates[i].Entry)
-	}
-	return readers
+	return chosen
 }
 
 // Observers returns the indices of up to count usable instances that observe a slice's servers in addition to the instance
--- a/core/limit/counter.go
+++ b/core/limit/counter.go
@@ -16,7 +16,7 @@
 	acting   Bucket // while acting for a counter that is silent
 	relayed  int    // tokens of another counter, for those who do not reach it
 	relayTTL time.Time
-	missing  int // tokens that could not be granted since the latest call of Missing
+	missing  int // tokens asked for while provisional, since the latest call of Missing
 	started  bool
 	retryAt  time.Time // given to the latest refused caller
 }
--- a/core/rules/key.go
+++ b/core/rules/key.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"strings"
 )
 
@@ -55,7 +56,7 @@
 	}
 	k := key{line: parser.line}
 	ok = parser.parseOptions(words, optionParsers{
-		"team": func(o option) bool { return parser.parseServiceName(o, &k.team) },
+		"team": func(o option) bool { return parser.parseNameOption(o, &k.team) },
 	}) && ok
 	if !ok {
 		return
@@ -77,7 +78,7 @@
 		team := parser.set.teams[k.team]
 		if team == nil {
 			parser.line = k.line
-			parser.fail(KindReference, 1, "the key names team "+`"`+k.team+`", which no rule declares`, "declare it with a line team "+k.team)
+			parser.fail(KindReference, 1, fmt.Sprintf("the key names team %q, which no rule declares", k.team), "declare it with a line team "+k.team)
 			continue
 		}
 		parser.set.keys[digest] = team
--- a/core/rules/options.go
+++ b/core/rules/options.go
@@ -88,17 +88,10 @@
 	return true
 }
 
-func (parser *parser) parseAccess(o option, out *bool) bool {
-	if o.value != "public" {
-		return parser.failInvalid(o, "write access=public for requests without a key, or omit the option")
-	}
-	*out = true
-	return true
-}
-
-func (parser *parser) parseKeysRequired(o option, out *bool) bool {
-	if o.value != "required" {
-		return parser.failInvalid(o, "write keys=required, or omit the option")
+// parseFlag parses an option that has a single value, such as access=public.
+func (parser *parser) parseFlag(o option, value, fix string, out *bool) bool {
+	if o.value != value {
+		return parser.failInvalid(o, fix)
 	}
 	*out = true
 	return true
@@ -137,14 +130,6 @@
 	return true
 }
 
-func (parser *parser) parseResponseSize(o option, out *bool) bool {
-	if o.value != "large" {
-		return parser.failInvalid(o, "write answers=large for responses of tens of kilobytes or more, or omit the option")
-	}
-	*out = true
-	return true
-}
-
 func (parser *parser) parseIdempotency(o option, out *Idempotency) bool {
 	switch o.value {
 	case "yes":
@@ -187,14 +172,6 @@
 	return total > 0 || parser.failInvalid(o, fix)
 }
 
-func (parser *parser) parseMatch(o option, out *bool) bool {
-	if o.value != "below" {
-		return parser.failInvalid(o, "write match=below to match only paths below the prefix, or omit the option")
-	}
-	*out = true
-	return true
-}
-
 func (parser *parser) parsePriority(o option, out *int) bool {
 	n, err := strconv.Atoi(o.value)
 	if err != nil || n < 0 || n > maxPriority {
@@ -212,7 +189,7 @@
 	return true
 }
 
-func (parser *parser) parseServiceName(o option, out *string) bool {
+func (parser *parser) parseNameOption(o option, out *string) bool {
 	*out = o.value
 	return parser.checkName(word{o.value, o.column})
 }
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -190,17 +190,23 @@
 	route := &Route{Timeout: DefaultTimeout, RequestedBy: requestedBy, Line: parser.line}
 	ok := parser.parseHostAndPrefix(words, route)
 	ok = parser.parseOptions(words, optionParsers{
-		"service":    func(o option) bool { return parser.parseServiceName(o, &route.Service) },
-		"split":      func(o option) bool { return parser.parseSplit(o, &route.Split) },
-		"match":      func(o option) bool { return parser.parseMatch(o, &route.SubpathsOnly) },
+		"service": func(o option) bool { return parser.parseNameOption(o, &route.Service) },
+		"split":   func(o option) bool { return parser.parseSplit(o, &route.Split) },
+		"match": func(o option) bool {
+			return parser.parseFlag(o, "below", "write match=below to match only paths below the prefix, or omit the option", &route.SubpathsOnly)
+		},
 		"methods":    func(o option) bool { return parser.parseMethods(o, &route.Methods) },
 		"repeatable": func(o option) bool { return parser.parseIdempotency(o, &route.Idempotency) },
-		"access":     func(o option) bool { return parser.parseAccess(o, &route.Public) },
-		"answers":    func(o option) bool { return parser.parseResponseSize(o, &route.Large) },
-		"attempts":   func(o option) bool { return parser.parseCount(o, maxAttempts, &route.MaxAttempts) },
-		"priority":   func(o option) bool { return parser.parsePriority(o, &route.Priority) },
-		"target":     func(o option) bool { return parser.parseDuration(o, &route.TargetLatency) },
-		"deadline":   func(o option) bool { return parser.parseDuration(o, &route.Timeout) },
+		"access": func(o option) bool {
+			return parser.parseFlag(o, "public", "write access=public for requests without a key, or omit the option", &route.Public)
+		},
+		"answers": func(o option) bool {
+			return parser.parseFlag(o, "large", "write answers=large for responses of tens of kilobytes or more, or omit the option", &route.Large)
+		},
+		"attempts": func(o option) bool { return parser.parseCount(o, maxAttempts, &route.MaxAttempts) },
+		"priority": func(o option) bool { return parser.parsePriority(o, &route.Priority) },
+		"target":   func(o option) bool { return parser.parseDuration(o, &route.TargetLatency) },
+		"deadline": func(o option) bool { return parser.parseDuration(o, &route.Timeout) },
 	}) && ok
 	if !ok {
 		return
@@ -285,7 +291,9 @@
 		"body-bytes":   func(o option) bool { return parser.parseCount(o, maxBodyBytes, &bodyBytes) },
 		"header-time":  func(o option) bool { return parser.parseDuration(o, &callerLimits.HeaderTimeout) },
 		"idle-time":    func(o option) bool { return parser.parseDuration(o, &callerLimits.IdleTimeout) },
-		"keys":         func(o option) bool { return parser.parseKeysRequired(o, &callerLimits.KeysRequired) },
+		"keys": func(o option) bool {
+			return parser.parseFlag(o, "required", "write keys=required, or omit the option", &callerLimits.KeysRequired)
+		},
 	})
 	if !ok {
 		return
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -199,7 +199,7 @@
 	w.refused++
 }
 
-// TestAdmitsAllWithinTheLimit sends four fifths of the limit in bursts as the limit allows, and checks that nothing is refused.
+// TestAdmitsAllWithinTheLimit sends 0.62 of the limit at random times, and checks that nothing is refused.
 func TestAdmitsAllWithinTheLimit(t *testing.T) {
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 1))
