Log what each retry budget grants, refuses and has left

The limit on retries covers all instances, and the log of a home did not show what each budget paid: the hypotheses on the exceeded limit could not be told apart. One line a second for a slice in which retries were asked for.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -71,3 +71,28 @@
 	}
 	return atOnce
 }
+
+// RetryUse is what a pool's retry budget granted and refused over some time.
+type RetryUse struct {
+	Since     time.Time
+	Earned    int     // first attempts that earned their share
+	Granted   int     // retries and hedges
+	Waited    int     // of Granted, those that were queued for a slot
+	Refused   int     // retries and hedges over budget
+	Available float64 // tokens that a retry may spend now
+}
+
+// retryUseInterval is the minimum time between two results of TakeRetryUse.
+const retryUseInterval = time.Second
+
+// TakeRetryUse returns the use of the retry budget since the previous call that returned or reset it. It reports false if that was less
+// than retryUseInterval ago, or if no retry was asked for.
+func (pool *Pool) TakeRetryUse(now time.Time) (RetryUse, bool) {
+	if now.Sub(pool.retryUse.Since) < retryUseInterval {
+		return RetryUse{}, false
+	}
+	use := pool.retryUse
+	use.Available = pool.policy.maxSpent(false) - pool.budget.spent
+	pool.retryUse = RetryUse{Since: now}
+	return use, use.Granted+use.Refused > 0
+}
--- a/core/pool/budget_test.go
+++ b/core/pool/budget_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
@@ -73,3 +74,23 @@
 		must.GreaterEq(t, bound/2, float64(most))
 	}
 }
+
+// TestRetryUseCountsEachRetryOnce checks the counts from which operators learn which instance granted the retries of a service.
+func TestRetryUseCountsEachRetryOnce(t *testing.T) {
+	p := pool.Pool{}
+	p.SetPolicy(pool.Policy{Slots: 2, RetryShare: 0.2, RetryBurst: 40, Wait: 10 * time.Second})
+	p.SetServers(benchStart, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+	ask := pool.Ask{Entry: "e0", Domain: "d0", Idempotent: true, Number: 1, Deadline: benchStart.Add(time.Minute)}
+	for attempt, number := range []int{1, 2, 2} {
+		ask.Attempt, ask.Number = uint64(attempt+1), number
+		p.Ask(benchStart, ask)
+	}
+	_, found := p.TakeRetryUse(benchStart.Add(time.Millisecond))
+	must.False(t, found)
+	p.Report(benchStart.Add(500*time.Millisecond), pool.Report{Attempt: 1, Server: "s0", Entry: "e0", Domain: "d0", Outcome: pool.Answered, FirstByte: time.Millisecond})
+	use, found := p.TakeRetryUse(benchStart.Add(time.Second))
+	must.True(t, found)
+	test.Eq(t, []int{1, 2, 1, 0}, []int{use.Earned, use.Granted, use.Waited, use.Refused})
+	_, found = p.TakeRetryUse(benchStart.Add(2 * time.Second))
+	must.False(t, found)
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -121,6 +121,7 @@
 	rate         limit.Bucket
 
 	budget            budget // for retries and hedges
+	retryUse          RetryUse
 	verifyBudget      budget // for verifications
 	baseline          rate   // attempts at all servers
 	episodes          episodes
@@ -208,6 +209,7 @@
 	}
 	pool.policy = pool.policy.withDefaults()
 	pool.createdAt = now
+	pool.retryUse.Since = now
 	pool.grants = map[uint64]grant{}
 	pool.teams = map[string]int{}
 	pool.suspectAfter = initialSuspectAfter
@@ -276,8 +278,10 @@
 		}
 		pool.lossMonitor.recordArrival(now)
 		pool.budget.save(pool.policy.RetryShare)
+		pool.retryUse.Earned++
 		pool.verifyBudget.earn(verifyShare)
 	} else if !pool.budget.spend(pool.policy.maxSpent(ask.Hedge)) {
+		pool.retryUse.Refused++
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(overBudgetRetryAfter)}
 	}
 	if pool.queue.len() > 0 && !ask.Hedge {
@@ -322,6 +326,12 @@
 	if !ask.since.IsZero() {
 		decision.Waited = now.Sub(ask.since)
 	}
+	if ask.Verify == "" && ask.Number > 1 {
+		pool.retryUse.Granted++
+		if decision.Waited > 0 {
+			pool.retryUse.Waited++
+		}
+	}
 	decision.Close = !s.connections.keep(now, pool.policy.Connections, s.inFlight)
 	return decision
 }
--- a/entry/changelog.go
+++ b/entry/changelog.go
@@ -1,13 +1,15 @@
 package entry
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 )
 
-// changeLog logs changes of slice homes and of the state of their backend servers.
+// changeLog logs changes of slice homes and of the state of their backend servers, and the use of retry budgets.
 type changeLog struct {
 	name string // of this instance
 	log  *zap.Logger
@@ -57,3 +59,12 @@
 		changeLog.log.Info(changeMessages[change.Kind], fields...)
 	}
 }
+
+// logRetryUse logs what the retry budget of a slice's pool granted and refused. The limit on retries covers all instances together, so the lines of
+// all of them add up to what backend servers received.
+func (changeLog *changeLog) logRetryUse(now time.Time, slice home.Slice, local bool, use pool.RetryUse) {
+	changeLog.log.Info("home: retry budget used",
+		zap.Stringer("slice", slice), zap.Bool("decided-alone", local), zap.Duration("within", now.Sub(use.Since)),
+		zap.Int("first-attempts", use.Earned), zap.Int("retries", use.Granted), zap.Int("queued-retries", use.Waited),
+		zap.Int("refused", use.Refused), zap.Float64("left", use.Available))
+}
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -158,7 +158,12 @@
 	now := entry.Clock()
 	for _, slice := range pools.slices() {
 		var probes []pool.Probe
-		pools.withPool(now, &entry.members, slice, func(sp *slicePool) { probes = sp.pool.Tick(now) })
+		pools.withPool(now, &entry.members, slice, func(sp *slicePool) {
+			probes = sp.pool.Tick(now)
+			if use, found := sp.pool.TakeRetryUse(now); found {
+				pools.log.logRetryUse(now, slice, pools.local, use)
+			}
+		})
 		for _, probe := range probes {
 			go entry.probe(ctx, pools, slice, probe)
 		}
