Begin with little of the retry burst after a change of home

Cause: the limit covers all instances, and each home, standby and successor had a budget of its own that knows nothing of the others.

Why it works: a pool that begins to decide, or was not asked for a second, has 0.06 of the burst in hand and must earn or refill the rest.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -7,15 +7,17 @@
 
 // Token budgets: first attempts earn tokens; retries, hedges and verifications spend them.
 //
-// A service's retries are limited over a window of ten seconds: to a share of its requests plus a burst. What a pool may spend at once and
-// what is refilled with time add up to less than the burst in a window. The rest is for the previous home of the slice and for its standby.
+// A service's retries are limited over a window of ten seconds, at all instances together: to a share of its requests plus a burst. No
+// budget knows what the others granted. A pool may spend retryAtOnce of the burst at once, and retryPerSecond of it comes back each second.
+// A pool that begins to decide has only retryAtStart in hand, as its predecessors may have spent theirs in the same window. This leaves
+// the burst for several changes of home in a window, or for a home and a standby that decide side by side.
 const (
 	defaultRetryShare = 0.2 // earned per first attempt, for retries and hedges
 	defaultRetryBurst = 20.0
-	retryAtOnce       = 0.25 // of the burst, that may be spent at once
-	retryPerSecond    = 0.05 // of the burst, refilled in each second
+	retryAtOnce       = 0.2  // of the burst
+	retryAtStart      = 0.06 // of the burst
+	retryPerSecond    = 0.04 // of the burst
 	hedgeShare        = 0.7  // of what may be spent at once; the rest is reserved for retries
-	initialSpentShare = 0.4  // of what may be spent at once that a new pool counts as spent, low enough to allow hedges
 	verifyShare       = 0.1  // earned per first attempt, for verifications
 	verifyBurst       = 8.0
 )
@@ -23,11 +25,12 @@
 // earnedMemory is how long tokens that first attempts earned stay in a full budget: at many requests a second some attempts fail at once.
 const earnedMemory = time.Second
 
+// deciderSilence is the time without asks after which another instance may have decided for the slice.
+const deciderSilence = time.Second
+
 // budget limits additional attempts to a share of the first attempts. The zero value is full.
 type budget struct {
-	spent      float64 // below 0 by up to saved
-	saved      float64 // earned of late, decaying over earnedMemory
-	refilledAt time.Time
+	spent float64
 }
 
 // earn adds tokens up to a full budget.
@@ -35,27 +38,65 @@
 	budget.spent = max(0, budget.spent-tokens)
 }
 
-// save adds tokens beyond a full budget, for earnedMemory.
-func (budget *budget) save(tokens float64) {
-	budget.saved += tokens
-	budget.spent = max(-budget.saved, budget.spent-tokens)
+// spend takes a token and reports true, unless more than limit tokens would then be spent.
+func (budget *budget) spend(limit float64) bool {
+	if budget.spent+1 > limit {
+		return false
+	}
+	budget.spent++
+	return true
+}
+
+// retryBudget is a pool's part of the limit on its service's retries. The zero value starts with the first ask.
+type retryBudget struct {
+	spent    float64 // below 0 by up to saved
+	withheld float64 // of a full budget, until it is earned or refilled: other deciders may have spent it
+	saved    float64 // earned of late, decaying over earnedMemory
+	askedAt  time.Time
 }
 
-// refill adds the tokens of the time since the latest refill up to a full budget.
-func (budget *budget) refill(now time.Time, perSecond float64) {
-	if !budget.refilledAt.IsZero() {
-		elapsed := now.Sub(budget.refilledAt).Seconds()
-		budget.saved *= math.Exp(-elapsed / earnedMemory.Seconds())
-		if budget.spent > 0 {
-			budget.earn(perSecond * elapsed)
-		}
+// ask adds the tokens of the time since the latest ask, or starts over after deciderSilence.
+func (budget *retryBudget) ask(now time.Time, policy *Policy) {
+	elapsed := now.Sub(budget.askedAt)
+	if budget.askedAt.IsZero() || elapsed > deciderSilence {
+		budget.startOver(policy)
+	} else {
+		budget.saved *= math.Exp(-elapsed.Seconds() / earnedMemory.Seconds())
 		budget.spent = max(-budget.saved, budget.spent)
+		budget.add(retryPerSecond * policy.RetryBurst * elapsed.Seconds())
 	}
-	budget.refilledAt = now
+	budget.askedAt = now
 }
 
-// spend takes a token and reports true, unless more than limit tokens would then be spent.
-func (budget *budget) spend(limit float64) bool {
+// startOver leaves at most the tokens with which a pool begins to decide.
+func (budget *retryBudget) startOver(policy *Policy) {
+	atStart := min(policy.retriesAtOnce(), retryAtStart*policy.RetryBurst)
+	budget.withheld = policy.retriesAtOnce() - atStart
+	budget.spent = min(max(0, budget.spent), atStart)
+	budget.saved = 0
+}
+
+// add adds tokens up to a full budget and returns the rest.
+func (budget *retryBudget) add(tokens float64) (rest float64) {
+	repaid := min(tokens, max(0, budget.spent))
+	budget.spent -= repaid
+	released := min(tokens-repaid, budget.withheld)
+	budget.withheld -= released
+	return tokens - repaid - released
+}
+
+// earn adds the share of a first attempt. It stays for earnedMemory beyond a full budget.
+func (budget *retryBudget) earn(policy *Policy) {
+	budget.saved += policy.RetryShare
+	budget.spent = max(-budget.saved, budget.spent-budget.add(policy.RetryShare))
+}
+
+// spend takes a token for a retry or a hedge and reports whether one was left.
+func (budget *retryBudget) spend(policy *Policy, hedge bool) bool {
+	limit := policy.retriesAtOnce() - budget.withheld
+	if hedge {
+		limit = min(limit, max(1, hedgeShare*limit))
+	}
 	if budget.spent+1 > limit {
 		return false
 	}
@@ -63,15 +104,14 @@
 	return true
 }
 
-// maxSpent returns the limit on spent tokens for a retry or a hedge. At least one can be spent at once.
-func (policy *Policy) maxSpent(hedge bool) float64 {
-	atOnce := max(1, retryAtOnce*policy.RetryBurst)
-	if hedge {
-		return max(1, hedgeShare*atOnce)
-	}
-	return atOnce
+// left returns the tokens that retries may spend.
+func (budget *retryBudget) left(policy *Policy) float64 {
+	return policy.retriesAtOnce() - budget.withheld - budget.spent
 }
 
+// retriesAtOnce returns the tokens of a full budget. At least one can be spent at once.
+func (policy *Policy) retriesAtOnce() float64 { return max(1, retryAtOnce*policy.RetryBurst) }
+
 // RetryUse is what a pool's retry budget granted and refused over some time.
 type RetryUse struct {
 	Since     time.Time
@@ -92,7 +132,7 @@
 		return RetryUse{}, false
 	}
 	use := pool.retryUse
-	use.Available = pool.policy.maxSpent(false) - pool.budget.spent
+	use.Available = pool.budget.left(&pool.policy)
 	pool.retryUse = RetryUse{Since: now}
 	return use, use.Granted+use.Refused > 0
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -120,7 +120,7 @@
 	changes      []Change
 	rate         limit.Bucket
 
-	budget            budget // for retries and hedges
+	budget            retryBudget // for retries and hedges
 	retryUse          RetryUse
 	verifyBudget      budget // for verifications
 	baseline          rate   // attempts at all servers
@@ -170,7 +170,12 @@
 
 // SetPolicy replaces the policy.
 func (pool *Pool) SetPolicy(policy Policy) {
+	before := pool.policy.RetryBurst
 	pool.policy = policy.withDefaults()
+	if pool.policy.RetryBurst != before {
+		// The service was cut into slices anew.
+		pool.budget.startOver(&pool.policy)
+	}
 	for _, s := range pool.servers {
 		s.slots = pool.slotsFor(s.member)
 	}
@@ -215,8 +220,6 @@
 	pool.suspectAfter = initialSuspectAfter
 	// Earlier losses are unknown, so the service counts as degraded.
 	pool.lossMonitor.degradedUntil = now.Add(degradedDuration)
-	// A previous home may have spent that much recently.
-	pool.budget.spent = initialSpentShare * retryAtOnce * pool.policy.RetryBurst
 }
 
 func (pool *Pool) slotsFor(member Member) int {
@@ -271,16 +274,16 @@
 			return Decision{Attempt: ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)}
 		}
 	}
-	pool.budget.refill(now, retryPerSecond*pool.policy.RetryBurst)
+	pool.budget.ask(now, &pool.policy)
 	if ask.Number <= 1 {
 		if granted, retryAt := pool.rate.Take(now, limit.Limit{Rate: pool.policy.Limit}, 1); granted == 0 {
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
 		}
 		pool.lossMonitor.recordArrival(now)
-		pool.budget.save(pool.policy.RetryShare)
+		pool.budget.earn(&pool.policy)
 		pool.retryUse.Earned++
 		pool.verifyBudget.earn(verifyShare)
-	} else if !pool.budget.spend(pool.policy.maxSpent(ask.Hedge)) {
+	} else if !pool.budget.spend(&pool.policy, ask.Hedge) {
 		pool.retryUse.Refused++
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(overBudgetRetryAfter)}
 	}
--- /dev/null
+++ b/core/pool/retry_limit_test.go
@@ -0,0 +1,105 @@
+package pool_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+)
+
+// retryLimit is the users' limit on a service's retries: a share of its requests and a burst, in any window.
+const (
+	limitShare  = 0.2
+	limitBurst  = 62.0
+	limitWindow = 10 * time.Second
+)
+
+// retryLoad is a load on one slice that asks for as many retries as the deciding pools grant.
+type retryLoad struct {
+	perSecond int                             // first attempts, in turn at each decider
+	lasts     time.Duration                   // of the whole load
+	fails     func(at time.Duration) bool     // whether requests fail at a time, always if nil
+	deciders  func(at time.Duration) []string // instances that decide at a time; one that is named again after a while has restarted
+}
+
+// retriesAt plays the load and returns the times of the retries granted by all deciders together.
+func (load retryLoad) retriesAt() []time.Duration {
+	const step = 10 * time.Millisecond
+	pools := map[string]*pool.Pool{}
+	var granted []time.Duration
+	attempt, due := uint64(0), 0.0
+	for at := time.Duration(0); at < load.lasts; at += step {
+		now := benchStart.Add(at)
+		names := load.deciders(at)
+		ask := func(name string, number int) bool {
+			p := pools[name]
+			if p == nil {
+				p = &pool.Pool{}
+				p.SetPolicy(pool.Policy{Slots: 1000, RetryShare: limitShare, RetryBurst: limitBurst})
+				p.SetServers(now, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+				pools[name] = p
+			}
+			attempt++
+			verdict := p.Ask(now, pool.Ask{Attempt: attempt, Entry: "e0", Domain: "d0", Idempotent: true, Number: number, Deadline: now.Add(time.Minute)}).Verdict
+			p.Report(now, pool.Report{Attempt: attempt, Server: "s0", Entry: "e0", Domain: "d0", Outcome: pool.Answered, FirstByte: time.Millisecond})
+			return verdict == pool.Granted
+		}
+		for due += float64(load.perSecond) * step.Seconds(); due >= 1; due-- {
+			ask(names[int(attempt)%len(names)], 1)
+		}
+		for _, name := range names {
+			for (load.fails == nil || load.fails(at)) && ask(name, 2) {
+				granted = append(granted, at)
+			}
+		}
+	}
+	return granted
+}
+
+// checkLimit checks that no window has more retries than the limit allows.
+func (load retryLoad) checkLimit(t *testing.T) {
+	t.Helper()
+	granted := load.retriesAt()
+	first, most := 0, 0
+	for i := range granted {
+		for granted[i]-granted[first] > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	bound := limitShare*float64(load.perSecond)*limitWindow.Seconds() + limitBurst
+	t.Logf("%d requests/s: at most %d retries in a window, %.0f allowed", load.perSecond, most, bound)
+	must.LessEq(t, bound, float64(most))
+}
+
+// TestRetryLimitHoldsWhileHomesAreLostAgainAndAgain has each home lost after 1.5 seconds and replaced by one that knows nothing.
+func TestRetryLimitHoldsWhileHomesAreLostAgainAndAgain(t *testing.T) {
+	for _, perSecond := range []int{1, 10, 60, 100} {
+		retryLoad{perSecond: perSecond, lasts: 40 * time.Second, deciders: func(at time.Duration) []string {
+			if at < 20*time.Second {
+				return []string{"first"}
+			}
+			return []string{(at / (1500 * time.Millisecond)).String()}
+		}}.checkLimit(t)
+	}
+}
+
+// TestRetryLimitHoldsWhileHomeAndStandbyDecide has instances on two sides of a network partition ask different homes for five seconds.
+func TestRetryLimitHoldsWhileHomeAndStandbyDecide(t *testing.T) {
+	const period, partition, failing = 20 * time.Second, 5 * time.Second, 10 * time.Second
+	for _, perSecond := range []int{1, 10, 60} {
+		retryLoad{
+			perSecond: perSecond, lasts: 60 * time.Second,
+			fails: func(at time.Duration) bool { return at%period < failing },
+			deciders: func(at time.Duration) []string {
+				if at%period < partition {
+					return []string{"home", "standby"}
+				}
+				return []string{"home"}
+			},
+		}.checkLimit(t)
+	}
+}
