Let instances that decide alone retry only what their requests earned

When a service's home and standby are lost, each instance decides alone until it learns of another home.

Why it works: an instance that decides alone begins with nothing and gains by first attempts alone; what it saves up is lost after a second without asks.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -63,16 +63,15 @@
 	} else {
 		budget.saved *= math.Exp(-elapsed.Seconds() / earnedMemory.Seconds())
 		budget.spent = max(-budget.saved, budget.spent)
-		budget.add(retryPerSecond * policy.RetryBurst * elapsed.Seconds())
+		budget.add(policy.retriesPerSecond() * elapsed.Seconds())
 	}
 	budget.askedAt = now
 }
 
 // startOver leaves at most the tokens with which a pool begins to decide.
 func (budget *retryBudget) startOver(policy *Policy) {
-	atStart := min(policy.retriesAtOnce(), retryAtStart*policy.RetryBurst)
-	budget.withheld = policy.retriesAtOnce() - atStart
-	budget.spent = min(max(0, budget.spent), atStart)
+	budget.withheld = policy.retriesAtOnce() - policy.retriesAtStart()
+	budget.spent = min(max(0, budget.spent), policy.retriesAtStart())
 	budget.saved = 0
 }
 
@@ -112,6 +111,22 @@
 // retriesAtOnce returns the tokens of a full budget. At least one can be spent at once.
 func (policy *Policy) retriesAtOnce() float64 { return max(1, retryAtOnce*policy.RetryBurst) }
 
+// retriesAtStart returns the tokens with which a pool begins to decide.
+func (policy *Policy) retriesAtStart() float64 {
+	if policy.EarnedOnly {
+		return 0
+	}
+	return min(policy.retriesAtOnce(), retryAtStart*policy.RetryBurst)
+}
+
+// retriesPerSecond returns the tokens that come back each second.
+func (policy *Policy) retriesPerSecond() float64 {
+	if policy.EarnedOnly {
+		return 0
+	}
+	return retryPerSecond * policy.RetryBurst
+}
+
 // RetryUse is what a pool's retry budget granted and refused over some time.
 type RetryUse struct {
 	Since     time.Time
--- a/core/pool/options.go
+++ b/core/pool/options.go
@@ -18,6 +18,7 @@
 	Servers     int           // of the whole service, 0 for those of the slice
 	RetryShare  float64       // tokens for retries and hedges that each first attempt earns
 	RetryBurst  float64       // retries and hedges in ten seconds beyond those earned
+	EarnedOnly  bool          // RetryBurst only bounds the earned retries that can be saved up
 }
 
 // PolicyOf returns the policy for one of the given number of slices of a service.
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -15,8 +15,8 @@
 
 const poolShards = 32
 
-// localRetryBurst is the retry burst per instance for local decisions. It is small because the retry budget of a service covers all
-// instances together.
+// localRetryBurst limits the retries that an instance saves up while it decides locally. All instances may do so at once, and the retry limit
+// of a service covers them together, so each has what its own requests earn and nothing of the burst.
 const localRetryBurst = 1
 
 // pools holds slice pools in shards, each with its own lock.
@@ -83,7 +83,7 @@
 	policy, servers := plan.pool(slice)
 	if pools.local {
 		policy.Slots = 1
-		policy.RetryBurst = localRetryBurst
+		policy.RetryBurst, policy.EarnedOnly = localRetryBurst, true
 		for i := range servers {
 			servers[i].Slots = 1
 		}
--- /dev/null
+++ b/entry/retry_limit_test.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+)
+
+// TestInstancesThatDecideAloneRetryOnlyWhatRequestsEarned loses the homes of a service, so that all instances decide for themselves, and restarts them once.
+func TestInstancesThatDecideAloneRetryOnlyWhatRequestsEarned(t *testing.T) {
+	const instances, starts, share = 44, 2, 0.2
+	for _, requests := range []int{3, 600} {
+		granted := 0
+		for range instances * starts {
+			granted += retriesOfLoneInstance(t, listOf(instances, 23, 1), requests, RetryBudget{Share: share, Burst: 62})
+		}
+		earned := share * float64(requests*instances*starts)
+		t.Logf("%d requests each: %d retries at all instances, %.0f earned", requests, granted, earned)
+		test.LessEq(t, earned, float64(granted))
+	}
+}
+
+// retriesOfLoneInstance has a started instance decide alone on ten requests a second and on as many retries as it grants, and returns their number.
+func retriesOfLoneInstance(t *testing.T, list instance.List, requests int, budget RetryBudget) (granted int) {
+	now := time.Unix(1_800_000_000, 0)
+	e := newTestEntry(list)
+	e.Clock, e.DecideLocally, e.members.retries = func() time.Time { return now }, true, budget
+	e.rebuild(now)
+	slice, attempt := e.SliceFor("service-0", 1), uint64(0)
+	ask := func(number int) bool {
+		attempt++
+		grant, _ := e.Acquire(t.Context(), slice, pool.Ask{Attempt: attempt, Number: number, Idempotent: true, Deadline: now.Add(time.Minute)})
+		if grant == nil {
+			return false
+		}
+		grant.Done(pool.Report{Outcome: pool.Answered})
+		return true
+	}
+	for range requests {
+		must.True(t, ask(1))
+		for ask(2) {
+			granted++
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	return granted
+}
