Keep earned tokens for half a second, and earn them within the window in which they may be spent

Cause: what first attempts earned in the second before a window was spent within it, beyond a full budget. After a quiet time 300 requests/s had 696 retries where 662 are allowed (TestRetryLimitHoldsWhenRequestsFailAfterAQuietTime before this change). In a play that broke the limit, the budget held 36 tokens in place of 15 when servers began to refuse work.

Change: half a second, and a first attempt earns the share of a window over that window and this half second, so that all tokens that can be spent in a window fit its share. A quarter of the burst at once again: with a fifth of it TestMeasureFaults ejects a server behind a cut path in one of 20 runs, as with a quarter of a second of memory.

It costs a twentieth of the share where all servers refuse work for long.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -14,7 +14,7 @@
 const (
 	defaultRetryShare = 0.2 // earned per first attempt, for retries and hedges
 	defaultRetryBurst = 20.0
-	retryAtOnce       = 0.2  // of the burst
+	retryAtOnce       = 0.25 // of the burst
 	retryAtStart      = 0.06 // of the burst
 	retryPerSecond    = 0.04 // of the burst
 	hedgeShare        = 0.7  // of what may be spent at once; the rest is reserved for retries
@@ -22,8 +22,14 @@
 	verifyBurst       = 8.0
 )
 
+// retryWindow is the window of the limit on retries.
+const retryWindow = 10 * time.Second
+
 // earnedMemory is how long tokens that first attempts earned stay in a full budget: at many requests a second some attempts fail at once.
-const earnedMemory = time.Second
+const earnedMemory = 500 * time.Millisecond
+
+// earnedShare is the part of a first attempt's share that it earns. What was earned up to earnedMemory before a window may be spent within it.
+const earnedShare = float64(retryWindow) / float64(retryWindow+earnedMemory)
 
 // deciderSilence is the time without asks after which another instance may have decided for the slice.
 const deciderSilence = time.Second
@@ -86,8 +92,9 @@
 
 // earn adds the share of a first attempt. It stays for earnedMemory beyond a full budget.
 func (budget *retryBudget) earn(policy *Policy) {
-	budget.saved += policy.RetryShare
-	budget.spent = max(-budget.saved, budget.spent-budget.add(policy.RetryShare))
+	earned := earnedShare * policy.RetryShare
+	budget.saved += earned
+	budget.spent = max(-budget.saved, budget.spent-budget.add(earned))
 }
 
 // spend takes a token for a retry or a hedge and reports whether one was left.
--- a/core/pool/retry_limit_test.go
+++ b/core/pool/retry_limit_test.go
@@ -103,3 +103,14 @@
 		}.checkLimit(t)
 	}
 }
+
+// TestRetryLimitHoldsWhenRequestsFailAfterAQuietTime lets a budget fill up before all requests fail for ten seconds.
+func TestRetryLimitHoldsWhenRequestsFailAfterAQuietTime(t *testing.T) {
+	for _, perSecond := range []int{1, 60, 300, 1000} {
+		retryLoad{
+			perSecond: perSecond, lasts: 40 * time.Second,
+			fails:    func(at time.Duration) bool { return at%(2*limitWindow) >= limitWindow },
+			deciders: func(time.Duration) []string { return []string{"home"} },
+		}.checkLimit(t)
+	}
+}
