Spend a retry's token when it is granted rather than when it is queued

Change: an ask for a retry is queued only while a token is left for it beyond those of the retries queued before, and the grant spends it. A retry that is refused or withdrawn while it waits no longer costs a token.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -97,17 +97,14 @@
 	budget.spent = max(-budget.saved, budget.spent-budget.add(earned))
 }
 
-// spend takes a token for a retry or a hedge and reports whether one was left.
-func (budget *retryBudget) spend(policy *Policy, hedge bool) bool {
+// allows reports whether a retry or a hedge may be granted or queued while others are queued. The token is spent with the grant: that is when
+// the retry reaches a server.
+func (budget *retryBudget) allows(policy *Policy, hedge bool, queued int) bool {
 	limit := policy.retriesAtOnce() - budget.withheld
 	if hedge {
 		limit = min(limit, max(1, hedgeShare*limit))
 	}
-	if budget.spent+1 > limit {
-		return false
-	}
-	budget.spent++
-	return true
+	return budget.spent+float64(queued)+1 <= limit
 }
 
 // left returns the tokens that retries may spend.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -51,6 +51,9 @@
 	since time.Time // when it was queued
 }
 
+// isRetry reports whether the ask spends a token of the retry budget.
+func (ask *Ask) isRetry() bool { return ask.Number > 1 && ask.Verify == "" }
+
 // Verdict is the result of an Ask.
 type Verdict uint8
 
@@ -283,7 +286,7 @@
 		pool.budget.earn(&pool.policy)
 		pool.retryUse.Earned++
 		pool.verifyBudget.earn(verifyShare)
-	} else if !pool.budget.spend(&pool.policy, ask.Hedge) {
+	} else if !pool.budget.allows(&pool.policy, ask.Hedge, pool.queue.retries) {
 		pool.retryUse.Refused++
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(overBudgetRetryAfter)}
 	}
@@ -329,7 +332,8 @@
 	if !ask.since.IsZero() {
 		decision.Waited = now.Sub(ask.since)
 	}
-	if ask.Verify == "" && ask.Number > 1 {
+	if ask.isRetry() {
+		pool.budget.spent++
 		pool.retryUse.Granted++
 		if decision.Waited > 0 {
 			pool.retryUse.Waited++
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -17,6 +17,7 @@
 type queue struct {
 	teamQueues []teamQueue         // one for each team and priority with waiting asks, in order of arrival
 	attempts   map[uint64]struct{} // queued attempts
+	retries    int                 // of them, retries: each has a token of the retry budget reserved
 }
 
 // teamQueue is the queue of one team at one priority, oldest ask first.
@@ -50,11 +51,19 @@
 	return count
 }
 
-func (queue *queue) add(ask Ask) {
+// track adds an ask to the queued attempts.
+func (queue *queue) track(ask *Ask) {
 	if queue.attempts == nil {
 		queue.attempts = map[uint64]struct{}{}
 	}
 	queue.attempts[ask.Attempt] = struct{}{}
+	if ask.isRetry() {
+		queue.retries++
+	}
+}
+
+func (queue *queue) add(ask Ask) {
+	queue.track(&ask)
 	i := queue.indexOf(ask.Team, ask.Priority)
 	if i < 0 {
 		i = len(queue.teamQueues)
@@ -70,7 +79,7 @@
 		queue.add(ask)
 		return
 	}
-	queue.attempts[ask.Attempt] = struct{}{}
+	queue.track(&ask)
 	queue.teamQueues[i].asks = slices.Insert(queue.teamQueues[i].asks, 0, ask)
 }
 
@@ -79,6 +88,9 @@
 	l := &queue.teamQueues[i]
 	ask := l.asks[j]
 	delete(queue.attempts, ask.Attempt)
+	if ask.isRetry() {
+		queue.retries--
+	}
 	if j == 0 {
 		l.asks[0] = Ask{}
 		l.asks = l.asks[1:]
--- a/core/pool/retry_limit_test.go
+++ b/core/pool/retry_limit_test.go
@@ -62,7 +62,12 @@
 // checkLimit checks that no window has more retries than the limit allows.
 func (load retryLoad) checkLimit(t *testing.T) {
 	t.Helper()
-	granted := load.retriesAt()
+	checkRetryLimit(t, load.perSecond, load.retriesAt())
+}
+
+// checkRetryLimit checks the times of retries against the limit at a number of requests per second.
+func checkRetryLimit(t *testing.T, perSecond int, granted []time.Duration) {
+	t.Helper()
 	first, most := 0, 0
 	for i := range granted {
 		for granted[i]-granted[first] > limitWindow {
@@ -70,8 +75,8 @@
 		}
 		most = max(most, i-first+1)
 	}
-	bound := limitShare*float64(load.perSecond)*limitWindow.Seconds() + limitBurst
-	t.Logf("%d requests/s: at most %d retries in a window, %.0f allowed", load.perSecond, most, bound)
+	bound := limitShare*float64(perSecond)*limitWindow.Seconds() + limitBurst
+	t.Logf("%d requests/s: at most %d retries in a window, %.0f allowed", perSecond, most, bound)
 	must.LessEq(t, bound, float64(most))
 }
 
@@ -114,3 +119,52 @@
 		}.checkLimit(t)
 	}
 }
+
+// TestRetryLimitHoldsWhenQueuedRetriesAreGrantedTogether has all slots taken for six seconds while retries queue, and then frees them.
+func TestRetryLimitHoldsWhenQueuedRetriesAreGrantedTogether(t *testing.T) {
+	const perSecond, step, stalledFrom, stalledUntil = 60, 10 * time.Millisecond, 20 * time.Second, 26 * time.Second
+	p := &pool.Pool{}
+	p.SetPolicy(pool.Policy{Slots: 80, RetryShare: limitShare, RetryBurst: limitBurst, Wait: 10 * time.Second})
+	p.SetServers(benchStart, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+	var granted []time.Duration
+	var held []uint64
+	retries := map[uint64]bool{}
+	attempt, due := uint64(0), 0.0
+	for at := time.Duration(0); at < stalledUntil+2*limitWindow; at += step {
+		now := benchStart.Add(at)
+		grant := func(decision pool.Decision) {
+			if decision.Verdict != pool.Granted {
+				return
+			}
+			held = append(held, decision.Attempt)
+			if retries[decision.Attempt] {
+				granted = append(granted, at)
+			}
+		}
+		ask := func(number int) bool {
+			attempt++
+			retries[attempt] = number > 1
+			decision := p.Ask(now, pool.Ask{Attempt: attempt, Entry: "e0", Domain: "d0", Idempotent: true, Number: number, Deadline: now.Add(time.Minute)})
+			grant(decision)
+			return decision.Verdict == pool.Granted || decision.Verdict == pool.Queued
+		}
+		for due += perSecond * step.Seconds(); due >= 1; due-- {
+			ask(1)
+		}
+		for ask(2) {
+		}
+		for at < stalledFrom || at >= stalledUntil {
+			for _, answered := range held {
+				p.Report(now, pool.Report{Attempt: answered, Server: "s0", Entry: "e0", Domain: "d0", Outcome: pool.Answered, FirstByte: time.Millisecond})
+			}
+			held = nil
+			for decision, found := p.Next(); found; decision, found = p.Next() {
+				grant(decision)
+			}
+			if len(held) == 0 {
+				break
+			}
+		}
+	}
+	checkRetryLimit(t, perSecond, granted)
+}
