Let a request earn its share of the retry budget once

Cause: the limit counts requests, the budget counted asks. A request asks again when no connection can be opened, when its grant is of no use, and at the standby when its home is silent, which may have received the ask; each ask for a first attempt earned the share again.

Change: asks after the first one say so, also between instances (Ask.earned).

--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -196,7 +196,7 @@
 	case retry.Ask:
 		ask := pool.Ask{
 			Attempt: exchange.handler.nextAttempt(), Team: exchange.info.Team, Idempotent: exchange.request.Idempotent,
-			Hedge: action.Hedge, Number: exchange.request.Number(), Exclude: append([]string(nil), exchange.request.TriedServers()...),
+			Hedge: action.Hedge, Number: exchange.request.Number(), Earned: exchange.request.AskedBefore(), Exclude: append([]string(nil), exchange.request.TriedServers()...),
 			Deadline: exchange.request.Deadline, Fingerprint: exchange.fingerprint, Priority: exchange.priority, Large: exchange.route.Large, Last: exchange.request.IsLastAttempt(),
 		}
 		go exchange.ask(ask, action.At)
--- a/adapters/peer/yamux/yamux_test.go
+++ b/adapters/peer/yamux/yamux_test.go
@@ -262,8 +262,9 @@
 		must.Eq(t, leavers, snapshot.Leaving)
 		renewal := entry.Renewal{Slices: []entry.SliceRenewal{{Slice: home.Slice{Service: "s", Index: 2}, Snapshot: snapshot}}}
 		must.Eq(t, renewal, renewalFromWire(renewalToWire(renewal, now), now))
-		_, asked := askFromWire(askToWire(home.Slice{}, pool.Ask{Paused: []string{"a", "b"}}, now), now)
+		_, asked := askFromWire(askToWire(home.Slice{}, pool.Ask{Paused: []string{"a", "b"}, Earned: true}, now), now)
 		must.Eq(t, []string{"a", "b"}, asked.Paused)
+		must.True(t, asked.Earned)
 		record := idempotency.Record{
 			Key: idempotency.Key{1, rapid.Byte().Draw(t, "key")}, Attempt: rapid.Uint64().Draw(t, "attempt"),
 			State: idempotency.State(rapid.IntRange(0, 2).Draw(t, "state")), Status: rapid.IntRange(0, 599).Draw(t, "status"),
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -38,6 +38,7 @@
 	Idempotent  bool
 	Hedge       bool     // a duplicate of an attempt that is still in flight
 	Number      int      // attempt number of the request, from 1
+	Earned      bool     // an earlier ask may have earned the request's share of the retry budget
 	Exclude     []string // servers that this request has tried
 	Paused      []string // servers that have paused requests from the asking instance
 	Verify      string   // suspect server to verify with a copy of an answered request, empty for a caller's request
@@ -283,8 +284,10 @@
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
 		}
 		pool.lossMonitor.recordArrival(now)
-		pool.budget.earn(&pool.policy)
-		pool.retryUse.Earned++
+		if !ask.Earned {
+			pool.budget.earn(&pool.policy)
+			pool.retryUse.Earned++
+		}
 		pool.verifyBudget.earn(verifyShare)
 	} else if !pool.budget.allows(&pool.policy, ask.Hedge, pool.queue.retries) {
 		pool.retryUse.Refused++
--- a/core/pool/retry_limit_test.go
+++ b/core/pool/retry_limit_test.go
@@ -19,7 +19,8 @@
 
 // retryLoad is a load on one slice that asks for as many retries as the deciding pools grant.
 type retryLoad struct {
-	perSecond int                             // first attempts, in turn at each decider
+	perSecond int                             // requests, in turn at each decider
+	asksAgain int                             // times that each request asks again, because no connection could be opened
 	lasts     time.Duration                   // of the whole load
 	fails     func(at time.Duration) bool     // whether requests fail at a time, always if nil
 	deciders  func(at time.Duration) []string // instances that decide at a time; one that is named again after a while has restarted
@@ -34,7 +35,7 @@
 	for at := time.Duration(0); at < load.lasts; at += step {
 		now := benchStart.Add(at)
 		names := load.deciders(at)
-		ask := func(name string, number int) bool {
+		ask := func(name string, number int, again bool) bool {
 			p := pools[name]
 			if p == nil {
 				p = &pool.Pool{}
@@ -43,15 +44,18 @@
 				pools[name] = p
 			}
 			attempt++
-			verdict := p.Ask(now, pool.Ask{Attempt: attempt, Entry: "e0", Domain: "d0", Idempotent: true, Number: number, Deadline: now.Add(time.Minute)}).Verdict
+			verdict := p.Ask(now, pool.Ask{Attempt: attempt, Entry: "e0", Domain: "d0", Idempotent: true, Number: number, Earned: again, Deadline: now.Add(time.Minute)}).Verdict
 			p.Report(now, pool.Report{Attempt: attempt, Server: "s0", Entry: "e0", Domain: "d0", Outcome: pool.Answered, FirstByte: time.Millisecond})
 			return verdict == pool.Granted
 		}
 		for due += float64(load.perSecond) * step.Seconds(); due >= 1; due-- {
-			ask(names[int(attempt)%len(names)], 1)
+			name := names[int(attempt)%len(names)]
+			for i := range 1 + load.asksAgain {
+				ask(name, 1, i > 0)
+			}
 		}
 		for _, name := range names {
-			for (load.fails == nil || load.fails(at)) && ask(name, 2) {
+			for (load.fails == nil || load.fails(at)) && ask(name, 2, false) {
 				granted = append(granted, at)
 			}
 		}
@@ -168,3 +172,8 @@
 	}
 	checkRetryLimit(t, perSecond, granted)
 }
+
+// TestRetryLimitHoldsWhenRequestsAskAgain has each request ask four times for its first attempt: a request earns its share once.
+func TestRetryLimitHoldsWhenRequestsAskAgain(t *testing.T) {
+	retryLoad{perSecond: 60, asksAgain: 3, lasts: 30 * time.Second, deciders: func(time.Duration) []string { return []string{"home"} }}.checkLimit(t)
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -107,6 +107,9 @@
 // Number returns the number of the latest attempt, from 1. Attempts that were not written to a server do not count.
 func (request *Request) Number() int { return max(1, request.requested-request.unsent) }
 
+// AskedBefore reports whether a grant was requested before the latest one.
+func (request *Request) AskedBefore() bool { return request.requested > 1 }
+
 // IsLastAttempt reports whether the latest attempt is the last one allowed.
 func (request *Request) IsLastAttempt() bool {
 	return !request.Idempotent || request.countedAttempts() >= request.MaxAttempts
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -102,7 +102,7 @@
 		default:
 			return grant, decision
 		}
-		ask.Attempt = entry.lastAttempt.Add(1)
+		ask.Attempt, ask.Earned = entry.lastAttempt.Add(1), true
 	}
 	return nil, pool.Decision{Attempt: ask.Attempt, Verdict: pool.Full, RetryAt: entry.Clock().Add(unusedGrantRetryDelay)}
 }
@@ -136,6 +136,10 @@
 		if ctx.Err() != nil {
 			return nil, pool.Decision{Verdict: pool.Full, RetryAt: entry.Clock()}
 		}
+		if err != nil {
+			// The ask may have arrived.
+			ask.Earned, grant.ask.Earned = true, true
+		}
 		entry.count("entry.silent-homes")
 	}
 	entry.count("entry.decided-alone")
--- a/entry/retry_limit_test.go
+++ b/entry/retry_limit_test.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 )
@@ -50,3 +52,52 @@
 	}
 	return granted
 }
+
+// silentPeers receives asks and answers none of them.
+type silentPeers struct {
+	grantingPeers
+}
+
+func (peers *silentPeers) Ask(ctx context.Context, to Peer, slice home.Slice, ask pool.Ask) (pool.Decision, pool.Snapshot, error) {
+	_, _, _ = peers.grantingPeers.Ask(ctx, to, slice, ask)
+	return pool.Decision{}, pool.Snapshot{}, context.DeadlineExceeded
+}
+
+func (*silentPeers) Renew(context.Context, Peer, Renewal) error { return context.DeadlineExceeded }
+
+// TestRequestEarnsOnceWhenHomesAreSilent has the home and the standby receive an ask and not answer, so that the instance decides alone.
+func TestRequestEarnsOnceWhenHomesAreSilent(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	peers := &silentPeers{grantingPeers{decide: func(pool.Ask) (pool.Decision, pool.Snapshot) { return pool.Decision{}, pool.Snapshot{} }}}
+	e, slice := remoteSlice(t, &peers.grantingPeers, &now)
+	e.Peers = peers
+	grant, _ := e.Acquire(t.Context(), slice, pool.Ask{Attempt: 7, Number: 1})
+	must.NotNil(t, grant)
+	earning := 0
+	for _, ask := range append(peers.asks, grant.ask) {
+		if !ask.Earned {
+			earning++
+		}
+	}
+	must.Len(t, 2, peers.asks)
+	must.Eq(t, 1, earning)
+}
+
+// TestRequestEarnsOnceWhenGrantsAreOfNoUse has a home grant a server that has told this instance that it leaves.
+func TestRequestEarnsOnceWhenGrantsAreOfNoUse(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	peers := &grantingPeers{decide: func(ask pool.Ask) (pool.Decision, pool.Snapshot) {
+		if len(ask.Exclude) > 0 {
+			return grantOf("server-2"), pool.Snapshot{}
+		}
+		return grantOf("server-0"), pool.Snapshot{}
+	}}
+	e, slice := remoteSlice(t, peers, &now)
+	first, _ := e.Acquire(t.Context(), slice, pool.Ask{Attempt: 7, Number: 1})
+	first.RecordNotice(Notice{Leaving: true})
+	peers.asks = nil
+	_, _ = e.Acquire(t.Context(), slice, pool.Ask{Attempt: 8, Number: 1})
+	must.Len(t, 2, peers.asks)
+	must.False(t, peers.asks[0].Earned)
+	must.True(t, peers.asks[1].Earned)
+}
