Believe no refusal on a kept connection that does not tell its request

Cause: an answer with another request's id was discarded, but one without any id only if it was a success. Refusals with the earlier id were discarded before, and requests that may run once never use a kept connection, so none ran twice.

Change: an answer without an id on a kept connection counts as one of another request; on a new connection there is no earlier one.

--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -129,6 +129,7 @@
 // to the grant. The notice of a response to another request is ignored.
 func (exchange *exchange) recordResponseInfo(a *attempt) {
 	responseInfo, err := exchange.handler.Dialect.ParseResponse(exchange.now(), exchange.info, a.response)
+	responseInfo.Mismatched = responseInfo.Mismatched || responseInfo.Unidentified && a.progress.Reused()
 	a.responseInfo = responseInfo
 	if err != nil {
 		exchange.logDecision("request: invalid header of a backend server ignored", zap.String("backend-server", a.grant.Server), zap.Error(err))
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -65,6 +65,8 @@
 	Leaving     bool // the server is draining and accepts no new requests
 	Misdirected bool // another server uses the address now
 	Mismatched  bool // the response belongs to another request
+	// Unidentified means that the response does not tell which request it belongs to: on a kept connection it may be an earlier one.
+	Unidentified bool
 	// PausedUntil is the time until which this instance should send the server no requests, zero for no limit.
 	PausedUntil time.Time
 }
