Close a connection on which an answer to another request came

Cause: such an answer without a body put its connection back into use, although the server still owed an answer on it; the next request on that connection got the answer of the one before (TestClosedConnectionGivesNoAnswerToLaterRequests, which fails without the closing). On the platform its id gave it away, and the request was lost or cost a retry.

--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -40,6 +40,7 @@
 	mu     sync.Mutex
 	wrote  bool
 	reused bool
+	conn   net.Conn
 }
 
 // Wrote reports whether any byte of the request may have been sent to the server.
@@ -63,6 +64,24 @@
 	progress.wrote, progress.reused = true, reused
 }
 
+// setConnection records the attempt's connection.
+func (progress *Progress) setConnection(info httptrace.GotConnInfo) {
+	progress.SetConnected(info.Reused)
+	progress.mu.Lock()
+	defer progress.mu.Unlock()
+	progress.conn = info.Conn
+}
+
+// CloseConnection closes the attempt's connection, so that no request gets an answer of this one's on it.
+func (progress *Progress) CloseConnection() {
+	progress.mu.Lock()
+	defer progress.mu.Unlock()
+	if progress.conn != nil {
+		// The answer is discarded, so an error of its connection does not matter.
+		_ = progress.conn.Close()
+	}
+}
+
 // Backend sends requests to backend servers. The zero value is ready to use.
 type Backend struct {
 	Dialect dialect.Dialect // nil for dialect.Native
@@ -100,7 +119,7 @@
 	ctx, cancel := context.WithCancelCause(request.Context())
 	headerMonitor := &headerMonitor{cancel: cancel}
 	defer headerMonitor.stop()
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { progress.SetConnected(info.Reused) }}
+	trace := &httptrace.ClientTrace{GotConn: progress.setConnection}
 	headerMonitor.trace(trace)
 	out := request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	out.URL = &url.URL{Scheme: "http", Host: options.Address.String(), Opaque: request.URL.Opaque,
--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -112,6 +112,7 @@
 	exchange.recordResponseInfo(a)
 	if a.responseInfo.Mismatched {
 		_ = response.Body.Close()
+		a.progress.CloseConnection()
 		return exchange.handleFailure(a, errMismatched)
 	}
 	a.suspectTimer.Stop()
