--- a/core/pool/retry_limit_test.go
+++ b/core/pool/retry_limit_test.go
@@ -1,10 +1,13 @@
 package pool_test
 
 import (
+	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
@@ -63,25 +66,35 @@
 	return granted
 }
 
+// limit returns how many retries the users' limit allows in a window of the load.
+func (load retryLoad) limit() float64 {
+	return limitShare*float64(load.perSecond)*limitWindow.Seconds() + limitBurst
+}
+
 // checkLimit checks that no window has more retries than the limit allows.
 func (load retryLoad) checkLimit(t *testing.T) {
 	t.Helper()
-	checkRetryLimit(t, load.perSecond, load.retriesAt())
+	load.check(t, load.retriesAt())
 }
 
-// checkRetryLimit checks the times of retries against the limit at a number of requests per second.
-func checkRetryLimit(t *testing.T, perSecond int, granted []time.Duration) {
+// check checks the times of the load's retries.
+func (load retryLoad) check(t *testing.T, retriesAt []time.Duration) {
 	t.Helper()
-	first, most := 0, 0
-	for i := range granted {
-		for granted[i]-granted[first] > limitWindow {
+	most := mostRetries(retriesAt)
+	t.Logf("%d requests/s: at most %d retries in a window, %.0f allowed", load.perSecond, most, load.limit())
+	must.LessEq(t, load.limit(), float64(most))
+}
+
+// mostRetries returns the largest number of retries in a window.
+func mostRetries(retriesAt []time.Duration) (most int) {
+	first := 0
+	for i := range retriesAt {
+		for retriesAt[i]-retriesAt[first] > limitWindow {
 			first++
 		}
 		most = max(most, i-first+1)
 	}
-	bound := limitShare*float64(perSecond)*limitWindow.Seconds() + limitBurst
-	t.Logf("%d requests/s: at most %d retries in a window, %.0f allowed", perSecond, most, bound)
-	must.LessEq(t, bound, float64(most))
+	return most
 }
 
 // TestRetryLimitHoldsWhileHomesAreLostAgainAndAgain has each home lost after 1.5 seconds and replaced by one that knows nothing.
@@ -170,10 +183,41 @@
 			}
 		}
 	}
-	checkRetryLimit(t, perSecond, granted)
+	retryLoad{perSecond: perSecond}.check(t, granted)
 }
 
 // TestRetryLimitHoldsWhenRequestsAskAgain has each request ask four times for its first attempt: a request earns its share once.
 func TestRetryLimitHoldsWhenRequestsAskAgain(t *testing.T) {
 	retryLoad{perSecond: 60, asksAgain: 3, lasts: 30 * time.Second, deciders: func(time.Duration) []string { return []string{"home"} }}.checkLimit(t)
 }
+
+// TestRetryLimitHoldsOnRandomChangesOfHome draws loads on which homes are lost or share the slice with a standby while requests fail at times.
+func TestRetryLimitHoldsOnRandomChangesOfHome(t *testing.T) {
+	const schedules, lasts = 200, 50 * time.Second
+	most := 0.0
+	for seed := range uint64(schedules) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
+		failsFrom, failsFor := between(0, 15*time.Second), between(2*time.Second, 25*time.Second)
+		homeLasts := between(2500*time.Millisecond, 20*time.Second) // at most four changes in a window
+		standbyFrom, standbyFor := between(0, 20*time.Second), time.Duration(0)
+		if homeLasts > limitWindow {
+			standbyFor = between(0, 5*time.Second)
+		}
+		load := retryLoad{
+			perSecond: 1 + random.IntN(300), asksAgain: random.IntN(3), lasts: lasts,
+			fails: func(at time.Duration) bool { return at >= failsFrom && (at-failsFrom)%(2*failsFor) < failsFor },
+			deciders: func(at time.Duration) []string {
+				home := "home-" + strconv.Itoa(int(at/homeLasts))
+				if at >= standbyFrom && at < standbyFrom+standbyFor {
+					return []string{home, "standby"}
+				}
+				return []string{home}
+			},
+		}
+		retries, bound := mostRetries(load.retriesAt()), load.limit()
+		most = max(most, float64(retries)/bound)
+		test.LessEq(t, bound, float64(retries), test.Sprintf("seed %d", seed))
+	}
+	t.Logf("at most %.2f of the limit in %d schedules", most, schedules)
+}
