Follow an instance list on past rows that are malformed

Change: rows are decoded one by one, and malformed ones are logged and left out, as with the metadata store.

--- a/adapters/instances/http/http.go
+++ b/adapters/instances/http/http.go
@@ -15,8 +15,11 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/logs"
 )
 
 // Request limits.
@@ -55,10 +58,18 @@
 	State   string         `json:"state"`
 }
 
+// readDocument is a Document whose rows are decoded one by one.
+type readDocument struct {
+	AsOf    time.Time         `json:"as-of"`
+	Entries []json.RawMessage `json:"entry-instances"`
+	Servers []json.RawMessage `json:"backend-servers"`
+}
+
 // Client reads the instance list. Address must be set.
 type Client struct {
 	Address    netip.AddrPort
 	HTTPClient http.Client
+	Log        *zap.Logger // nil to log nothing
 
 	mu   sync.Mutex
 	last instance.List
@@ -83,7 +94,7 @@
 		return instance.List{}, &entry.Error{Op: "list", Kind: entry.KindUnavailable, Err: err}
 	}
 	defer response.Body.Close()
-	list, err := readList(response, last)
+	list, err := client.readList(response, last)
 	if err != nil {
 		return instance.List{}, err
 	}
@@ -93,7 +104,7 @@
 	return list, nil
 }
 
-func readList(response *http.Response, last instance.List) (instance.List, error) {
+func (client *Client) readList(response *http.Response, last instance.List) (instance.List, error) {
 	switch response.StatusCode {
 	case http.StatusNotModified:
 		asOf, err := time.Parse(time.RFC3339Nano, response.Header.Get("As-Of"))
@@ -105,35 +116,52 @@
 	default:
 		return instance.List{}, &entry.Error{Op: "list", Kind: entry.KindUnavailable, Err: fmt.Errorf("unexpected instance list status %s", response.Status)}
 	}
-	document := Document{}
+	document := readDocument{}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&document); err != nil {
 		return instance.List{}, &entry.Error{Op: "list", Kind: entry.KindInvalid, Err: err}
 	}
-	list, err := document.list()
-	list.Version = response.Header.Get("ETag")
-	return list, err
+	return instance.List{
+		Version: response.Header.Get("ETag"), AsOf: document.AsOf,
+		Entries: decodeRows(document.Entries, (*Entry).Instance, client.logOddRow),
+		Servers: decodeRows(document.Servers, (*Server).server, client.logOddRow),
+	}, nil
 }
 
-// list validates and converts a document. One malformed row invalidates the document, as other rows may be missing too.
-func (document *Document) list() (instance.List, error) {
-	list := instance.List{AsOf: document.AsOf}
-	for _, e := range document.Entries {
-		listed, err := e.Instance()
+// decodeRows decodes the rows of a list. Malformed ones are reported and left out: others must not be kept from changing by them.
+func decodeRows[R, T any](rows []json.RawMessage, convert func(*R) (T, error), malformed func(error)) []T {
+	var out []T
+	for _, row := range rows {
+		var decoded R
+		err := json.Unmarshal(row, &decoded)
+		var converted T
+		if err == nil {
+			converted, err = convert(&decoded)
+		}
 		if err != nil {
-			return instance.List{}, err
+			malformed(err)
+			continue
 		}
-		list.Entries = append(list.Entries, listed)
+		out = append(out, converted)
 	}
-	for _, s := range document.Servers {
-		state, known := parseState(s.State)
-		if !known || s.Name == "" || s.Service == "" || !s.Address.IsValid() || s.Slots < 0 {
-			return instance.List{}, malformedError("backend server", s.Name)
-		}
-		list.Servers = append(list.Servers, instance.Server{
-			Name: s.Name, Service: s.Service, Domain: s.Domain, Address: s.Address, Slots: s.Slots, State: state,
-		})
+	return out
+}
+
+func (client *Client) logOddRow(err error) {
+	if client.Log != nil {
+		client.Log.Warn("instances: ignored a malformed row of the list", logs.ShortError(err))
 	}
-	return list, nil
+}
+
+// server validates and converts a backend server. It returns an entry.Error of KindInvalid if the server is malformed.
+func (server *Server) server() (instance.Server, error) {
+	state, known := parseState(server.State)
+	out := instance.Server{
+		Name: server.Name, Service: server.Service, Domain: server.Domain, Address: server.Address, Slots: server.Slots, State: state,
+	}
+	if !known || !out.Valid() {
+		return instance.Server{}, malformedError("backend server", server.Name)
+	}
+	return out, nil
 }
 
 // Instance validates and converts an entry instance. It returns an entry.Error of KindInvalid if e is malformed.
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -55,6 +55,16 @@
 	WarmAt time.Time
 }
 
+// MaxSlots limits the slots of a backend server.
+const MaxSlots = 10_000
+
+// Valid reports whether the server has a name, a service, an address that it can listen on and a possible number of slots.
+func (server *Server) Valid() bool {
+	address := server.Address.Addr()
+	return server.Name != "" && server.Service != "" && server.Slots >= 0 && server.Slots <= MaxSlots &&
+		address.IsValid() && !address.IsUnspecified() && !address.IsMulticast() && server.Address.Port() != 0
+}
+
 // FindServer returns the backend server with the given name and reports whether it exists. Servers must be sorted by name.
 func FindServer(servers []Server, name string) (Server, bool) {
 	i, found := slices.BinarySearchFunc(servers, name, func(s Server, name string) int { return cmp.Compare(s.Name, name) })
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -14,7 +14,7 @@
 const (
 	MaxLineBytes   = 4096
 	maxNameBytes   = 64
-	MaxSlots       = 10_000
+	maxSlots       = 10_000
 	maxConnections = 100_000
 	maxAttempts    = 10
 	maxLimit       = 1e7
@@ -166,7 +166,7 @@
 	service.Name = name
 	ok = parser.parseOptions(words, optionParsers{
 		"floor":       func(o option) bool { return parser.parsePercent(o, &service.Floor) },
-		"slots":       func(o option) bool { return parser.parseCount(o, MaxSlots, &service.Slots) },
+		"slots":       func(o option) bool { return parser.parseCount(o, maxSlots, &service.Slots) },
 		"connections": func(o option) bool { return parser.parseCount(o, maxConnections, &service.MaxConnections) },
 		"attempts":    func(o option) bool { return parser.parseCount(o, maxAttempts, &service.MaxAttempts) },
 		"ejection":    func(o option) bool { return parser.parseEjection(o, &service.Ejection) },
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -175,7 +175,7 @@
 	if daemon.Platform == nil {
 		kv := &store.Store{Address: s.Store}
 		daemon.Platform = &Platform{
-			Store: kv, Instances: &instances.Client{Address: s.Instances}, Rulebook: &configuration.Follower{Store: kv},
+			Store: kv, Instances: &instances.Client{Address: s.Instances, Log: daemon.Log}, Rulebook: &configuration.Follower{Store: kv},
 		}
 	}
 	platform := daemon.Platform
--- a/registry/watcher.go
+++ b/registry/watcher.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/logs"
 	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
@@ -138,7 +139,7 @@
 		}
 		value, err := decode(event.Record)
 		if err != nil {
-			log.Warn("store: ignored a malformed record", zap.String("key", event.Key), zap.Stringer("revision", event.Revision), zap.String("error", shortened(err)))
+			log.Warn("store: ignored a malformed record", zap.String("key", event.Key), zap.Stringer("revision", event.Revision), logs.ShortError(err))
 			changes.Removals = append(changes.Removals, instance.Removal{Name: name, Revision: event.Revision})
 			continue
 		}
@@ -147,14 +148,6 @@
 	return changes
 }
 
-// maxErrorBytes limits the logged text of an error, which may quote the whole record.
-const maxErrorBytes = 200
-
-func shortened(err error) string {
-	text := err.Error()
-	return text[:min(len(text), maxErrorBytes)]
-}
-
 func dropItem[T any](items []instance.Item[T], name string) []instance.Item[T] {
 	return slices.DeleteFunc(items, func(item instance.Item[T]) bool { return item.Name == name })
 }
