--- a/testing/soak/ledger_test.go
+++ b/testing/soak/ledger_test.go
@@ -64,23 +64,25 @@
 
 // ledger is what callers and backend servers saw, and which promises it breaks.
 type ledger struct {
-	mu       sync.Mutex
-	requests map[string]*sent
-	spans    []span
-	draining map[string]time.Time // servers that leave, since when
-	restored map[string]time.Time // servers that were leaving for long enough when the store was restored, and when that was
-	departed map[pair]time.Time   // when an instance passed on that a server leaves
-	pauses   map[pair]*pauseSpan
-	allowed  map[string]map[string]bool
-	broken   []string
-	answered int
-	served   int
-	pressed  int // requests of pressingTeam that ran
+	mu          sync.Mutex
+	requests    map[string]*sent
+	spans       []span
+	draining    map[string]time.Time // servers that leave, since when
+	restored    map[string]time.Time // servers that were leaving for long enough when the store was restored, and when that was
+	departed    map[pair]time.Time   // when an instance passed on that a server leaves
+	pauses      map[pair]*pauseSpan
+	allowed     map[string]map[string]bool
+	broken      []string
+	answered    int
+	served      int
+	pressed     int                  // requests of pressingTeam that ran
+	arrivals    map[string]*arrivals // by service
+	mostRetries float64              // of what is allowed in a window
 }
 
 func newLedger() *ledger {
 	return &ledger{requests: map[string]*sent{}, draining: map[string]time.Time{}, restored: map[string]time.Time{}, allowed: map[string]map[string]bool{},
-		departed: map[pair]time.Time{}, pauses: map[pair]*pauseSpan{}}
+		departed: map[pair]time.Time{}, pauses: map[pair]*pauseSpan{}, arrivals: map[string]*arrivals{}}
 }
 
 // fail notes a broken promise; the lock is held.
@@ -167,13 +169,14 @@
 func turnedAway(instance string) bool { return instance[len(instance)-1]%2 == 0 }
 
 // arrive notes that a request has reached a server, before it is known whether it runs, and reports whether it is turned away.
-func (l *ledger) arrive(id, server string, turnsAway bool) bool {
+func (l *ledger) arrive(id, server, service string, turnsAway bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, now := l.requests[id], time.Now()
 	if s == nil {
 		return false
 	}
+	l.receive(id, service, now)
 	at := pair{s.instance, server}
 	p := l.pauses[at]
 	if p != nil && now.After(p.from.Add(pauseSlack+clockSlack)) && now.Before(p.until) && !l.excused(s.instance, p.from) {
@@ -292,6 +295,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.judgeQuota()
+	l.judgeRetries()
 	overdue, late, left, worked := 0, 0, 0, 0
 	example := ""
 	for _, s := range l.requests {
--- a/testing/soak/plan_test.go
+++ b/testing/soak/plan_test.go
@@ -9,15 +9,16 @@
 
 // Sizes of a plan.
 const (
-	faultTime   = 9 * time.Second // in which faults begin
-	leastSteps  = 10
-	mostSteps   = 18
-	series      = 3   // steps of one kind in a row
-	seriesOdds  = 0.3 // chance that a step comes in a series
-	mostLength  = 3 * time.Second
-	lastingOdds = 0.1             // chance that a step lasts so much longer
-	longer      = 4 * time.Second // than a lease
-	moreNotices = 2               // steps of noticeActions at the most, beside one of each
+	faultTime    = 9 * time.Second // in which faults begin
+	leastSteps   = 10
+	mostSteps    = 18
+	series       = 3   // steps of one kind in a row
+	seriesOdds   = 0.3 // chance that a step comes in a series
+	mostLength   = 3 * time.Second
+	lastingOdds  = 0.1             // chance that a step lasts so much longer
+	longer       = 4 * time.Second // than a lease
+	moreNotices  = 2               // steps of noticeActions at the most, beside one of each
+	mostRefusals = 8 * time.Second
 )
 
 // action is a kind of step.
@@ -47,6 +48,7 @@
 	restore    action = "restore"     // the store comes back from a copy that is older than a backend server's leaving
 	isolate    action = "isolate"     // a third of the instances is cut off while a backend server leaves
 	spew       action = "spew"        // a backend server sends bytes that are no answer until the caller closes
+	refuse     action = "refuse"      // all servers of a service refuse most requests without running them
 )
 
 // actions are drawn from with equal chances; frequent ones stand twice.
@@ -114,6 +116,10 @@
 			target: states.IntN(1000), way: states.IntN(1000), length: time.Second + time.Duration(states.Int64N(int64(mostLength))),
 		})
 	}
+	loads := rand.New(rand.NewPCG(seed, 0x50a7))
+	plan = append(plan, step{
+		at: time.Duration(loads.Int64N(int64(faultTime))), action: refuse, target: loads.IntN(1000), length: time.Second + time.Duration(loads.Int64N(int64(mostRefusals))),
+	})
 	slices.SortFunc(plan, func(a, b step) int { return int(a.at - b.at) })
 	return plan
 }
--- a/testing/soak/soak_test.go
+++ b/testing/soak/soak_test.go
@@ -108,7 +108,7 @@
 	w.ledger.judge()
 	share, count := w.ledger.since(healed)
 	broken := w.ledger.report()
-	t.Logf("%d requests of the pressing team ran", w.ledger.pressed)
+	t.Logf("%d requests of the pressing team ran; at most %.2f of the retries allowed in a window", w.ledger.pressed, w.ledger.mostRetries)
 	t.Logf("%d requests answered, %d served; after the recovery %.3f of %d", w.ledger.answered, w.ledger.served, share, count)
 	switch {
 	case !recovered:
--- a/testing/soak/steps_test.go
+++ b/testing/soak/steps_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -60,6 +62,8 @@
 			w.replace(server, s.action)
 		case turnAway:
 			w.upset(server, turnAway, s.length)
+		case refuse:
+			w.refuse(server.Service, s.length)
 		case configure:
 			w.configure()
 		case restore:
@@ -233,6 +237,20 @@
 	calm()
 }
 
+// refuse has all servers of a service that are not upset otherwise refuse most requests.
+func (w *world) refuse(service string, length time.Duration) {
+	w.mu.Lock()
+	servers := slices.Clone(w.servers)
+	w.mu.Unlock()
+	var refusing sync.WaitGroup
+	for _, s := range servers {
+		if s.Service == service {
+			refusing.Go(func() { w.upset(s, refuse, length) })
+		}
+	}
+	refusing.Wait()
+}
+
 func (s *server) setMood(mood action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/testing/soak/world_test.go
+++ b/testing/soak/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
@@ -64,7 +65,7 @@
 	path *proxy
 
 	mu   sync.Mutex
-	mood action // grey, loseAnswer, sluggish, spew, depart or turnAway, empty for none
+	mood action // grey, loseAnswer, sluggish, spew, depart, refuse or turnAway, empty for none
 }
 
 // world is a fleet with all around it.
@@ -160,10 +161,14 @@
 	mood := s.mood
 	s.mu.Unlock()
 	id := platform.RequestID(r)
-	if w.ledger.arrive(id, s.ID, mood == turnAway) {
+	if w.ledger.arrive(id, s.ID, s.Service, mood == turnAway) {
 		s.RespondOverloaded(writer, r, pauseTime)
 		return true
 	}
+	if mood == refuse && rand.Float64() < refusedShare {
+		s.RespondRefused(writer, r)
+		return true
+	}
 	over := w.ledger.begin(id, r, s.ID, s.Service)
 	defer over()
 	length := workTime
@@ -237,8 +242,8 @@
 		seeds += fmt.Sprintf("%q,", other.toPeers.address())
 	}
 	text := fmt.Sprintf("platform = \"metadata-store\"\nname = %q\nfailure-domain = \"zone-%d\"\ncaller-address = %q\npeer-address = %q\nadvertised-peer-address = %q\n"+
-		"operator-address = %q\nready-address = %q\ndirectory-address = %q\nstore-address = %q\nseeds = [%s]\ngrace = %q\nlog-level = \"info\"\n[callers]\nkeep = \"2s\"\n[quotas]\nslack = 20\n",
-		in.name, i%domains, in.caller, in.peers, in.toPeers.address(), standin.FreeAddress(), in.ready, in.directory, in.toStore.address(), seeds, graceTime)
+		"operator-address = %q\nready-address = %q\ndirectory-address = %q\nstore-address = %q\nseeds = [%s]\ngrace = %q\nlog-level = \"info\"\n[callers]\nkeep = \"2s\"\n[quotas]\nslack = 20\n[retries]\nburst = %g\n",
+		in.name, i%domains, in.caller, in.peers, in.toPeers.address(), standin.FreeAddress(), in.ready, in.directory, in.toStore.address(), seeds, graceTime, retryBurst)
 	if err := os.WriteFile(in.file, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
