--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -124,7 +124,7 @@
 	changes      []Change
 	rate         limit.Bucket
 
-	budget            retryBudget // for retries and hedges
+	retryBudget       retryBudget
 	retryUse          RetryUse
 	verifyBudget      budget // for verifications
 	baseline          rate   // attempts at all servers
@@ -178,7 +178,7 @@
 	pool.policy = policy.withDefaults()
 	if pool.policy.RetryBurst != before {
 		// The service was cut into slices anew.
-		pool.budget.startOver(&pool.policy)
+		pool.retryBudget.startOver(&pool.policy)
 	}
 	for _, s := range pool.servers {
 		s.slots = pool.slotsFor(s.member)
@@ -278,18 +278,18 @@
 			return Decision{Attempt: ask.Attempt, Verdict: Full, RetryAt: now.Add(fullRetryAfter)}
 		}
 	}
-	pool.budget.ask(now, &pool.policy)
+	pool.retryBudget.ask(now, &pool.policy)
 	if ask.Number <= 1 {
 		if granted, retryAt := pool.rate.Take(now, limit.Limit{Rate: pool.policy.Limit}, 1); granted == 0 {
 			return Decision{Attempt: ask.Attempt, Verdict: Limited, RetryAt: retryAt}
 		}
 		pool.lossMonitor.recordArrival(now)
 		if !ask.Earned {
-			pool.budget.earn(&pool.policy)
+			pool.retryBudget.earn(&pool.policy)
 			pool.retryUse.Earned++
 		}
 		pool.verifyBudget.earn(verifyShare)
-	} else if !pool.budget.allows(&pool.policy, ask.Hedge, pool.queue.retries) {
+	} else if !pool.retryBudget.allows(&pool.policy, ask.Hedge, pool.queue.retries) {
 		pool.retryUse.Refused++
 		return Decision{Attempt: ask.Attempt, Verdict: OverBudget, RetryAt: now.Add(overBudgetRetryAfter)}
 	}
@@ -336,7 +336,7 @@
 		decision.Waited = now.Sub(ask.since)
 	}
 	if ask.isRetry() {
-		pool.budget.spent++
+		pool.retryBudget.spent++
 		pool.retryUse.Granted++
 		if decision.Waited > 0 {
 			pool.retryUse.Waited++
