--- a/testing/soak/soak_test.go
+++ b/testing/soak/soak_test.go
@@ -40,10 +40,11 @@
 
 // failedSeeds are those that ever failed, each with its cause; they are played on each run.
 var failedSeeds = []uint64{
-	112,  // a repeated SIGTERM ended the process and the requests in flight with it
-	4014, // SIGHUP ended a process that had just been started
-	3,    // three instances in a row were killed, and each that counted a team next admitted too much without a history
-	5,    // an instance that had been stopped went on with a count of a team that time had refilled
+	112,   // a repeated SIGTERM ended the process and the requests in flight with it
+	4014,  // SIGHUP ended a process that had just been started
+	3,     // three instances in a row were killed, and each that counted a team next admitted too much without a history
+	5,     // an instance that had been stopped went on with a count of a team that time had refilled
+	72012, // a team's limit was exceeded after takeovers of its count; not traced, see KNOWN-RED.txt
 }
 
 // TestSoak plays plans of faults.
