--- a/core/pool/retry_budget_test.go
+++ b/core/pool/retry_budget_test.go
@@ -44,9 +44,7 @@
 				home = 2
 			}
 			if homes[home] == nil {
-				homes[home] = &pool.Pool{}
-				homes[home].SetPolicy(pool.Policy{Slots: 1000, RetryShare: share, RetryBurst: burst})
-				homes[home].SetServers(now, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+				homes[home] = oneServerPool(now, pool.Policy{Slots: 1000, RetryShare: share, RetryBurst: burst})
 			}
 			ask := func(number int) pool.Verdict {
 				attempt++
@@ -77,9 +75,7 @@
 
 // TestRetryUseCountsEachRetryOnce checks the counts from which operators learn which instance granted the retries of a service.
 func TestRetryUseCountsEachRetryOnce(t *testing.T) {
-	p := pool.Pool{}
-	p.SetPolicy(pool.Policy{Slots: 2, RetryShare: 0.2, RetryBurst: 40, Wait: 10 * time.Second})
-	p.SetServers(benchStart, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+	p := oneServerPool(benchStart, pool.Policy{Slots: 2, RetryShare: 0.2, RetryBurst: 40, Wait: 10 * time.Second})
 	ask := pool.Ask{Entry: "e0", Domain: "d0", Idempotent: true, Number: 1, Deadline: benchStart.Add(time.Minute)}
 	for attempt, number := range []int{1, 2, 2} {
 		ask.Attempt, ask.Number = uint64(attempt+1), number
@@ -98,9 +94,7 @@
 // TestFreshPoolResumesSeveralDownloads has each of the first requests to a new home break off at the same server, with the default burst of the settings.
 func TestFreshPoolResumesSeveralDownloads(t *testing.T) {
 	const defaultBurst, downloads = 44.0, 4
-	p := pool.Pool{}
-	p.SetPolicy(pool.Policy{Slots: 1000, RetryShare: 0.2, RetryBurst: defaultBurst})
-	p.SetServers(benchStart, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+	p := oneServerPool(benchStart, pool.Policy{Slots: 1000, RetryShare: 0.2, RetryBurst: defaultBurst})
 	ask := pool.Ask{Entry: "e0", Domain: "d0", Idempotent: true, Deadline: benchStart.Add(time.Minute)}
 	for range downloads {
 		for _, ask.Number = range []int{1, 2} {
--- a/core/pool/retry_limit_test.go
+++ b/core/pool/retry_limit_test.go
@@ -20,6 +20,14 @@
 	limitWindow = 10 * time.Second
 )
 
+// oneServerPool returns a pool with the server s0.
+func oneServerPool(now time.Time, policy pool.Policy) *pool.Pool {
+	p := &pool.Pool{}
+	p.SetPolicy(policy)
+	p.SetServers(now, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+	return p
+}
+
 // retryLoad is a load on one slice that asks for as many retries as the deciding pools grant.
 type retryLoad struct {
 	perSecond int                             // requests, in turn at each decider
@@ -41,9 +49,7 @@
 		ask := func(name string, number int, again bool) bool {
 			p := pools[name]
 			if p == nil {
-				p = &pool.Pool{}
-				p.SetPolicy(pool.Policy{Slots: 1000, RetryShare: limitShare, RetryBurst: limitBurst})
-				p.SetServers(now, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+				p = oneServerPool(now, pool.Policy{Slots: 1000, RetryShare: limitShare, RetryBurst: limitBurst})
 				pools[name] = p
 			}
 			attempt++
@@ -140,9 +146,7 @@
 // TestRetryLimitHoldsWhenQueuedRetriesAreGrantedTogether has all slots taken for six seconds while retries queue, and then frees them.
 func TestRetryLimitHoldsWhenQueuedRetriesAreGrantedTogether(t *testing.T) {
 	const perSecond, step, stalledFrom, stalledUntil = 60, 10 * time.Millisecond, 20 * time.Second, 26 * time.Second
-	p := &pool.Pool{}
-	p.SetPolicy(pool.Policy{Slots: 80, RetryShare: limitShare, RetryBurst: limitBurst, Wait: 10 * time.Second})
-	p.SetServers(benchStart, []pool.Member{{Name: "s0", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+	p := oneServerPool(benchStart, pool.Policy{Slots: 80, RetryShare: limitShare, RetryBurst: limitBurst, Wait: 10 * time.Second})
 	var granted []time.Duration
 	var held []uint64
 	retries := map[uint64]bool{}
--- a/entry/grant_test.go
+++ b/entry/grant_test.go
@@ -89,9 +89,9 @@
 	must.False(t, grant.Expired())
 }
 
-// TestRestartedHomeGrantsLeavingServer checks grants of a restarted home for a server that has announced to this instance that it is leaving.
-// The instance returns the grant with that information, and asks for another server under an unused attempt number.
-func TestRestartedHomeGrantsLeavingServer(t *testing.T) {
+// grantedLeavingServer returns an entry whose home has granted server-0, and grants it again, after the server has announced to the entry that it is leaving.
+func grantedLeavingServer(t *testing.T) (*Entry, home.Slice, *grantingPeers) {
+	t.Helper()
 	now := time.Unix(1_800_000_000, 0)
 	peers := &grantingPeers{decide: func(ask pool.Ask) (pool.Decision, pool.Snapshot) {
 		if len(ask.Exclude) > 0 {
@@ -102,6 +102,13 @@
 	e, slice := remoteSlice(t, peers, &now)
 	first, _ := e.Acquire(t.Context(), slice, pool.Ask{Attempt: 7, Number: 1})
 	first.RecordNotice(Notice{Leaving: true})
+	return e, slice, peers
+}
+
+// TestRestartedHomeGrantsLeavingServer checks grants of a restarted home for a server that has announced to this instance that it is leaving.
+// The instance returns the grant with that information, and asks for another server under an unused attempt number.
+func TestRestartedHomeGrantsLeavingServer(t *testing.T) {
+	e, slice, peers := grantedLeavingServer(t)
 	must.Eq(t, pool.Report{Attempt: 7, Server: "server-0", Entry: e.Name, Domain: e.Domain, Leaving: true, Ongoing: true}, peers.reports[0])
 	second, _ := e.Acquire(t.Context(), slice, pool.Ask{Attempt: 8, Number: 1})
 	must.Eq(t, "server-2", second.Server)
--- a/entry/retry_limit_test.go
+++ b/entry/retry_limit_test.go
@@ -85,16 +85,7 @@
 
 // TestRequestEarnsOnceWhenGrantsAreOfNoUse has a home grant a server that has told this instance that it leaves.
 func TestRequestEarnsOnceWhenGrantsAreOfNoUse(t *testing.T) {
-	now := time.Unix(1_800_000_000, 0)
-	peers := &grantingPeers{decide: func(ask pool.Ask) (pool.Decision, pool.Snapshot) {
-		if len(ask.Exclude) > 0 {
-			return grantOf("server-2"), pool.Snapshot{}
-		}
-		return grantOf("server-0"), pool.Snapshot{}
-	}}
-	e, slice := remoteSlice(t, peers, &now)
-	first, _ := e.Acquire(t.Context(), slice, pool.Ask{Attempt: 7, Number: 1})
-	first.RecordNotice(Notice{Leaving: true})
+	e, slice, peers := grantedLeavingServer(t)
 	peers.asks = nil
 	_, _ = e.Acquire(t.Context(), slice, pool.Ask{Attempt: 8, Number: 1})
 	must.Len(t, 2, peers.asks)
