--- a/adapters/peer/yamux/lists.go
+++ b/adapters/peer/yamux/lists.go
@@ -16,6 +16,8 @@
 		Entries:  entryChangesToWire(&lists.Entries, now),
 		Servers:  serverChangesToWire(&lists.Servers, now),
 		Leavers:  noticesToWire(lists.LeavingServers),
+
+		RulesVersion: lists.Rules.Number, RulesGeneration: lists.RulesRevision.Generation, RulesRevision: lists.RulesRevision.Number,
 	}
 }
 
@@ -30,6 +32,8 @@
 	}
 	return entry.Lists{
 		Age: time.Duration(message.GetAgeNanos()), Entries: entries, Servers: servers, LeavingServers: noticesFromWire(message.GetLeavers()),
+		Rules:         entry.RulesVersion{Number: message.GetRulesVersion()},
+		RulesRevision: instance.Revision{Generation: message.GetRulesGeneration(), Number: message.GetRulesRevision()},
 	}, nil
 }
 
--- a/adapters/peer/yamux/lists_test.go
+++ b/adapters/peer/yamux/lists_test.go
@@ -23,7 +23,7 @@
 // testLists returns lists that have all fields set.
 func testLists(now time.Time) entry.Lists {
 	return entry.Lists{
-		Age: 300 * time.Millisecond,
+		Age: 300 * time.Millisecond, Rules: entry.RulesVersion{Number: 4}, RulesRevision: revisionAt(6),
 		Entries: instance.Changes[instance.Entry]{Snapshot: true, Revision: revisionAt(7), Items: []instance.Item[instance.Entry]{{Name: "entry-a", Revision: revisionAt(5), Value: instance.Entry{
 			Name: "entry-a", Domain: "domain-a", Region: "region", Caller: netip.MustParseAddrPort("10.0.0.1:80"),
 			Peer: netip.MustParseAddrPort("10.0.0.1:81"), Operator: netip.MustParseAddrPort("10.0.0.1:82"), Processor: 0.16, State: instance.Leaving,
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -56,7 +56,10 @@
 	Age     time.Duration
 	Entries instance.Changes[instance.Entry]
 	Servers instance.Changes[instance.Server]
-	Rules   RulesVersion // not sent between instances with the lists
+	// Rules is a new version of the rules. Between instances it is the version in force at the sender, without its text.
+	Rules RulesVersion
+	// RulesRevision is the platform's revision up to which Rules is the latest version. The lists may have reached a later one.
+	RulesRevision instance.Revision
 	// LeavingServers are servers that reported that they are leaving and are not yet marked as leaving in the platform's list.
 	LeavingServers []notice.Server
 }
@@ -66,9 +69,10 @@
 	mu             sync.Mutex
 	entries        instance.Catalog[instance.Entry]
 	servers        instance.Catalog[instance.Server]
-	confirmedAt    time.Time     // latest time at which the lists were known to be current
-	changed        chan struct{} // closed on the next change of the lists or the rules
-	failedPulls    int           // consecutive pulls without fresh lists
+	rulesRevision  instance.Revision // up to which this instance knows the latest version of the rules
+	confirmedAt    time.Time         // latest time at which the lists were known to be current
+	changed        chan struct{}     // closed on the next change of the lists or the rules
+	failedPulls    int               // consecutive pulls without fresh lists
 	departureCheck departureCheck
 	changeCount    uint64 // number of applied changes
 	restorations   uint64 // restorations of the platform from an older copy
@@ -88,11 +92,26 @@
 	return instance.Earlier(lists.entries.Revision(), lists.servers.Revision())
 }
 
+// watchRevision returns the revision from which to watch the platform. Rules are pulled after the lists that show a change of them, so the
+// rules may have reached an earlier revision.
+func (lists *lists) watchRevision() instance.Revision {
+	lists.mu.Lock()
+	defer lists.mu.Unlock()
+	return instance.Earlier(lists.revisionLocked(), lists.rulesRevision)
+}
+
+// recordRulesRevision records that this instance knows the latest version of the rules up to a revision of the platform.
+func (lists *lists) recordRulesRevision(revision instance.Revision) {
+	lists.mu.Lock()
+	defer lists.mu.Unlock()
+	lists.rulesRevision = instance.Later(lists.rulesRevision, revision)
+}
+
 // since returns the changes after a revision and a channel that is closed on the next change.
 func (lists *lists) since(revision instance.Revision) (Lists, <-chan struct{}) {
 	lists.mu.Lock()
 	defer lists.mu.Unlock()
-	return Lists{Entries: lists.entries.Since(revision), Servers: lists.servers.Since(revision)}, lists.changed
+	return Lists{Entries: lists.entries.Since(revision), Servers: lists.servers.Since(revision), RulesRevision: lists.rulesRevision}, lists.changed
 }
 
 // apply applies changes and reports whether the lists changed. It starts a departure check if records are newly missing.
@@ -262,7 +281,7 @@
 			wait.For(ctx, roleCheckInterval)
 			continue
 		}
-		lists, err := entry.Feed.Next(ctx, entry.lists.revision())
+		lists, err := entry.Feed.Next(ctx, entry.lists.watchRevision())
 		if err != nil {
 			entry.count("lists.errors")
 			entry.pullFromSeeds(ctx)
@@ -271,12 +290,13 @@
 		}
 		now := entry.Clock()
 		entry.lists.recordAge(now, entry.Feed.Age(now))
-		if entry.lists.apply(lists) {
-			entry.publishLists()
-		}
 		if lists.Rules.Number > 0 {
 			entry.ApplyRules(lists.Rules.Number, lists.Rules.Text)
 		}
+		entry.lists.recordRulesRevision(lists.RulesRevision)
+		if entry.lists.apply(lists) {
+			entry.publishLists()
+		}
 	}
 }
 
@@ -300,6 +320,7 @@
 			entry.publishLists()
 		}
 		entry.pullRulesFrom(ctx, seed, entry.rules.load().version)
+		entry.recordPulledRules(pulled)
 	}
 }
 
@@ -365,6 +386,7 @@
 // applyPulled records the leaving servers that another instance sent and applies its lists with the given function.
 func (entry *Entry) applyPulled(pulled Lists, apply func(Lists) bool) {
 	entry.recordLeavingServers(pulled.LeavingServers)
+	entry.recordPulledRules(pulled)
 	entry.lists.addRestoreGrace(entry.Clock(), &pulled)
 	if apply(pulled) {
 		entry.publishLists()
@@ -412,6 +434,8 @@
 		case <-timer.C:
 		}
 	}
+	// Read after RulesRevision, so that it is at least the version which that revision covers.
+	lists.Rules.Number = entry.rules.load().version
 	lists.Age = entry.ListAge(entry.Clock())
 	lists.LeavingServers = entry.unlistedLeavingServers()
 	return lists
--- a/entry/lists_test.go
+++ b/entry/lists_test.go
@@ -30,12 +30,27 @@
 	mu      sync.Mutex
 	catalog instance.Catalog[instance.Server]
 	entries instance.Catalog[instance.Entry]
+	rules   RulesVersion
+	rulesAt instance.Revision // at which the rules were written
 }
 
 func (lists *platformLists) since(after instance.Revision) Lists {
 	lists.mu.Lock()
 	defer lists.mu.Unlock()
-	return Lists{Entries: lists.entries.Since(after), Servers: lists.catalog.Since(after)}
+	changes := Lists{Entries: lists.entries.Since(after), Servers: lists.catalog.Since(after), RulesRevision: lists.entries.Revision()}
+	if lists.rulesAt.After(after) {
+		changes.Rules = lists.rules
+	}
+	return changes
+}
+
+// writeRules writes a version of the rules without any route.
+func (lists *platformLists) writeRules(revision instance.Revision, version uint64) {
+	lists.mu.Lock()
+	defer lists.mu.Unlock()
+	lists.rules, lists.rulesAt = RulesVersion{Number: version, Text: "service payouts # asked by: test\n"}, revision
+	lists.catalog.Apply(instance.Changes[instance.Server]{Revision: revision})
+	lists.entries.Apply(instance.Changes[instance.Entry]{Revision: revision})
 }
 
 // set replaces the lists at a revision.
@@ -106,7 +121,7 @@
 			wait.For(ctx, 2*time.Second)
 			feed.recordLoss()
 			return Lists{}, errDisconnected
-		case !changes.Servers.Empty() || !time.Now().Before(until) || ctx.Err() != nil:
+		case !changes.Servers.Empty() || changes.Rules.Number > 0 || !time.Now().Before(until) || ctx.Err() != nil:
 			feed.recordContact()
 			feed.addGrace(changes.Servers.Removals)
 			changes.Servers = changes.Servers.WithRestoreGrace(after, time.Now().Add(testGrace))
@@ -331,6 +346,57 @@
 	}
 }
 
+// TestRulesSurviveTheLossOfTheWatchers loses all watchers of a failure domain after the other instances have pulled a list that covers a
+// new version of the rules, and before they have pulled the rules. These must be in force within the two seconds that the users allow.
+func TestRulesSurviveTheLossOfTheWatchers(t *testing.T) {
+	const maxRulesDelay = 2 * time.Second
+	for _, change := range []string{"rules alone", "rules and servers"} {
+		t.Run(change, func(t *testing.T) {
+			runSynctest(t, func(t *testing.T, ctx context.Context, running *sync.WaitGroup) {
+				platform := &platformLists{}
+				peers := &startPeers{all: map[netip.AddrPort]*Entry{}, down: map[netip.AddrPort]bool{}}
+				all, feeds := map[string]*Entry{}, map[string]*testFeed{}
+				var entries []instance.Entry
+				for i := range 5 {
+					e := listedEntry(i, "domain")
+					entries = append(entries, e)
+					feeds[e.Name] = &testFeed{lists: platform}
+					all[e.Name] = &Entry{Name: e.Name, Domain: e.Domain, Peer: e.Peer, Feed: feeds[e.Name], Peers: peers}
+					peers.all[e.Peer] = all[e.Name]
+				}
+				platform.set(at(5), entries, server("payouts-1"))
+				platform.writeRules(at(6), 3)
+				runAll(ctx, running, all, feeds)
+				time.Sleep(5 * time.Second)
+				lost := map[string]bool{}
+				peers.rulesLost.Store(true)
+				if change == "rules and servers" {
+					platform.write(at(7), server("payouts-2"))
+				}
+				platform.writeRules(at(8), 4)
+				time.Sleep(100 * time.Millisecond)
+				for _, watcher := range all["entry-0"].watchers() {
+					lost[watcher.Name] = true
+					peers.setDown(watcher.Peer)
+				}
+				for name, e := range all {
+					if !lost[name] {
+						must.Eq(t, at(8), e.lists.revision(), must.Sprint(name))
+						must.Eq(t, 3, e.rules.load().version, must.Sprint(name))
+					}
+				}
+				peers.rulesLost.Store(false)
+				time.Sleep(maxRulesDelay)
+				for name, e := range all {
+					if !lost[name] {
+						must.Eq(t, 4, e.rules.load().version, must.Sprint(name))
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestRoundRobinOfPeers checks that peers are selected equally often, regardless of their position on the list.
 func TestRoundRobinOfPeers(t *testing.T) {
 	e := &Entry{Name: "entry-9", Domain: "domain-0", Peers: &listPeers{}}
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -89,6 +89,14 @@
 	entry.Log.Info("rules: new version in force", zap.Uint64("version", version), zap.Int("rules", set.Len()))
 }
 
+// recordPulledRules records up to which revision of the platform the rules in force are the latest, given lists of another instance. A
+// version that this instance has yet to pull would be lost with that instance if the lists' revision counted for the rules as well.
+func (entry *Entry) recordPulledRules(pulled Lists) {
+	if pulled.Rules.Number <= entry.rules.load().version {
+		entry.lists.recordRulesRevision(pulled.RulesRevision)
+	}
+}
+
 // followRules applies new versions from the store until the context ends.
 func (entry *Entry) followRules(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/entry/start.go
+++ b/entry/start.go
@@ -75,6 +75,7 @@
 		return false
 	}
 	entry.pullRulesFrom(ctx, peer, entry.rules.load().version)
+	entry.recordPulledRules(pulled)
 	entry.recordLeavingServers(pulled.LeavingServers)
 	if entry.lists.apply(pulled) {
 		entry.publishLists()
