End a request at its deadline while a body is under way

Cause: the deadline of a request was watched until a response's header was delivered, or from the moment the small body was read. The copying of a body knew a stall of 30 s, ten minutes and 1 GB.

Change: where the deadline is for the whole response, as on the users' platform, a body that is copied from a server ends 0.2 s after it, whatever its length, framing and pace: reads, writes to the caller, resumed downloads and failure responses that are forwarded. A body that was read whole is delivered however slowly the caller reads. The server gets the blame if it is waited for. The caller's body is read until the deadline, and a connection whose body was cut off is closed after the answer, so that later bytes are not taken for a request.

Evidence: 15 of the 18 framings of TestBodiesWithoutEndAreCutAtTheRouteTimeout fail before (final answer when the caller gives up), and all five of TestStalledRequestBodiesAre- AnsweredAtTheRouteTimeout. Both pass after it.

Cost: a timer for each response that is not read whole before.

--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -33,6 +33,7 @@
 	request       retry.Request
 	claim         *idempotency.Claim // set for a non-idempotent request with an idempotency key
 	writeDeadline time.Time          // deadline to start writing the request under the claim
+	bodyDeadline  time.Time          // for the server's last byte of the response's body, zero for none
 	events        chan event
 	out           map[uint64]*attempt // attempts in flight, by id
 	suspects      []*entry.Grant      // of backend servers that were overdue or unreachable
@@ -322,9 +323,17 @@
 	}
 	exchange.dropFallback()
 	exchange.logGivenUp(answer)
+	exchange.closeIfCutOff()
 	exchange.handler.answer(exchange.w, exchange.r, answer)
 }
 
+// closeIfCutOff has the caller's connection closed after the response if the request's body has not been read to its end.
+func (exchange *exchange) closeIfCutOff() {
+	if exchange.body.isCutOff() {
+		exchange.w.Header().Set("Connection", "close")
+	}
+}
+
 // abandon ends the exchange of a caller that has disconnected.
 func (exchange *exchange) abandon() {
 	wrote := exchange.closeAll(pool.Canceled)
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -27,6 +27,9 @@
 	// minBytesPerSecond is the rate below which a body counts as stalled, measured over the time spent waiting for the
 	// server. The slowest legitimate links reach some thousand bytes per second.
 	minBytesPerSecond = 64
+	// bodyGrace is how much longer than its deadline a response may take whose header has arrived, so that a caller gets one that is
+	// about to be complete.
+	bodyGrace = 200 * time.Millisecond
 )
 
 // Limits of a body without Content-Length, which may never end. They are far above the largest exports.
@@ -39,7 +42,8 @@
 
 var (
 	errStalled        = errors.New("response body stalled")
-	errUnbounded      = errors.New("response body without a length exceeds its size or time limit")
+	errUnbounded      = errors.New("response body without a length exceeds its size limit")
+	errBodyDeadline   = errors.New("response body has not ended by its deadline")
 	errCallerWrite    = errors.New("caller stopped reading the response")
 	errNotResumable   = errors.New("response cannot be resumed")
 	errNoAttemptsLeft = errors.New("no attempts left")
@@ -49,9 +53,11 @@
 func (exchange *exchange) forward(a *attempt) {
 	response := a.response
 	exchange.handler.copyHeader(exchange.w.Header(), response.Header)
+	exchange.closeIfCutOff()
 	announceTrailers(exchange.w.Header(), response)
 	exchange.w.WriteHeader(response.StatusCode)
-	download := &download{exchange: exchange, attempt: a, flushAlways: response.ContentLength < 0}
+	download := exchange.newDownload(a)
+	download.flushAlways = response.ContentLength < 0
 	if download.flushAlways {
 		// The caller may wait for the header before it sends more. A failed flush shows up at the first write.
 		_ = http.NewResponseController(exchange.w).Flush()
@@ -72,12 +78,12 @@
 	defer a.response.Body.Close()
 	exchange.logForwardedFailure(a, executionStatus)
 	exchange.handler.copyHeader(exchange.w.Header(), a.response.Header)
+	exchange.closeIfCutOff()
 	if a.responseInfo.Refused {
 		exchange.w.Header().Set(dialect.OutcomeHeader, string(executionStatus))
 	}
 	exchange.w.WriteHeader(a.response.StatusCode)
-	download := &download{exchange: exchange, attempt: a}
-	if err := download.copy(); err != nil {
+	if err := exchange.newDownload(a).copy(); err != nil {
 		exchange.logAborted(a, err)
 		panic(http.ErrAbortHandler)
 	}
@@ -104,7 +110,15 @@
 	offset      int64 // bytes forwarded
 	flushAlways bool
 	throughput  throughput
-	deadline    time.Time // for a body without Content-Length
+	deadline    time.Time // for the last byte that is read from a server, zero for none
+}
+
+func (exchange *exchange) newDownload(a *attempt) *download {
+	download := &download{exchange: exchange, attempt: a, deadline: exchange.bodyDeadline}
+	if a.response.ContentLength < 0 {
+		download.deadline = earlier(time.Now().Add(maxUnsizedDuration), download.deadline)
+	}
+	return download
 }
 
 // throughput measures how fast a server sends a body. Time spent writing to the caller is excluded.
@@ -150,7 +164,7 @@
 	switch {
 	case errors.Is(err, errCallerWrite) || download.exchange.r.Context().Err() != nil:
 		report.Outcome = pool.Canceled
-	case errors.Is(err, errStalled):
+	case errors.Is(err, errStalled) || errors.Is(err, errBodyDeadline):
 		report.Outcome = pool.Stalled
 	case err != nil:
 		report.Outcome = pool.Truncated
@@ -171,10 +185,13 @@
 	defer buffers.Put(buffer)
 	control := http.NewResponseController(download.exchange.w)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	if download.expires() {
+		defer time.AfterFunc(time.Until(download.deadline), download.attempt.cancel).Stop()
+	}
 	for {
 		n, readErr := download.read(buffer[:])
 		if n > 0 {
-			_ = control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+			_ = control.SetWriteDeadline(download.writeDeadline(n))
 			if _, err := download.exchange.w.Write(buffer[:n]); err != nil {
 				return fmt.Errorf("%w: %w", errCallerWrite, err)
 			}
@@ -192,29 +209,46 @@
 	}
 }
 
+// expires reports whether the copying ends at the deadline. A body that was read completely does not: it is delivered, however slowly the
+// caller reads it.
+func (download *download) expires() bool {
+	return download.attempt.buffered == nil && !download.deadline.IsZero()
+}
+
+// writeDeadline returns the deadline for writing the next n bytes to the caller.
+func (download *download) writeDeadline(n int) time.Time {
+	deadline := time.Now().Add(callerWriteTimeout)
+	isLast := download.offset+int64(n) == download.attempt.response.ContentLength
+	if isLast || !download.expires() {
+		return deadline
+	}
+	return earlier(deadline, download.deadline)
+}
+
 // read reads once from the body. It cancels the attempt if no byte arrives within the service's StallTimeout, or if the rate over
 // that time is below minBytesPerSecond.
 func (download *download) read(buffer []byte) (int, error) {
 	a := download.attempt
-	if a.response.ContentLength < 0 {
-		if download.deadline.IsZero() {
-			download.deadline = time.Now().Add(maxUnsizedDuration)
-		}
-		if download.offset > maxUnsizedBytes || time.Now().After(download.deadline) {
-			return 0, errUnbounded
-		}
+	if a.buffered != nil {
+		return a.buffered.Read(buffer)
+	}
+	if a.response.ContentLength < 0 && download.offset > maxUnsizedBytes {
+		return 0, errUnbounded
 	}
 	startedAt := time.Now()
+	if download.expires() && !startedAt.Before(download.deadline) {
+		return 0, errBodyDeadline
+	}
 	stalled := make(chan struct{})
 	timer := time.AfterFunc(download.exchange.service.StallTimeout, func() {
 		close(stalled)
 		a.cancel()
 	})
-	if a.buffered != nil {
+	n, err := a.response.Body.Read(buffer)
+	if err != nil && err != io.EOF && download.expires() && !time.Now().Before(download.deadline) {
 		timer.Stop()
-		return a.buffered.Read(buffer)
+		return n, errBodyDeadline
 	}
-	n, err := a.response.Body.Read(buffer)
 	if err == nil && download.throughput.read(time.Since(startedAt), download.exchange.service.StallTimeout, n) {
 		timer.Stop()
 		a.cancel()
@@ -233,7 +267,8 @@
 	exchange := download.exchange
 	etag := first.Header.Get("ETag")
 	resumable := exchange.r.Method == http.MethodGet && exchange.request.Idempotent && first.StatusCode == http.StatusOK &&
-		strings.HasPrefix(etag, `"`) && exchange.r.Header.Get("Range") == "" && exchange.r.Context().Err() == nil
+		strings.HasPrefix(etag, `"`) && exchange.r.Header.Get("Range") == "" && exchange.r.Context().Err() == nil &&
+		(exchange.bodyDeadline.IsZero() || exchange.now().Before(exchange.bodyDeadline))
 	if !resumable {
 		return errNotResumable
 	}
@@ -249,7 +284,7 @@
 func (download *download) resumeOnce(first *http.Response, etag string) bool {
 	exchange := download.exchange
 	now := exchange.now()
-	action := exchange.request.Resume(now, now.Add(exchange.route.Timeout))
+	action := exchange.request.Resume(now, earlier(now.Add(exchange.route.Timeout), exchange.bodyDeadline))
 	ask := pool.Ask{
 		Attempt: exchange.handler.nextAttempt(), Team: exchange.info.Team, Idempotent: true, Number: exchange.request.Number(),
 		Exclude: exchange.request.TriedServers(), Deadline: action.At, Fingerprint: exchange.fingerprint,
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -3,8 +3,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,18 +150,32 @@
 	if !handler.admit(w, r, &info) {
 		return
 	}
-	body, err := readBody(w, r)
+	bodyDeadline := handler.bodyDeadline(&info)
+	body, err := readBody(w, r, info.Deadline, bodyDeadline)
 	if err != nil {
 		handler.returnQuota(info.Team)
-		handler.refuse(w, r, &info, retry.ReasonBadRequest, time.Time{})
+		reason := retry.ReasonBadRequest
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			reason = retry.ReasonDeadline
+		}
+		handler.refuse(w, r, &info, reason, time.Time{})
 		return
 	}
 	exchange := newExchange(handler, w, r, route, set.Service(route.PickService(handler.splitPoint(route))), info, body)
+	exchange.bodyDeadline = bodyDeadline
 	exchange.rulesVersion, exchange.keysRequired = version, set.KeysRequired()
 	exchange.limitedTeam, exchange.priority = info.Team, priority(set, route, info.Team)
 	exchange.run()
 }
 
+// bodyDeadline returns the deadline for the last bytes of a request's and its response's bodies, zero for none.
+func (handler *Handler) bodyDeadline(info *dialect.RequestInfo) time.Time {
+	if !handler.Dialect.DeadlineCoversBody() {
+		return time.Time{}
+	}
+	return info.Deadline.Add(bodyGrace)
+}
+
 // refuse answers a request that was not sent to any backend server. Its log line has the further fields.
 func (handler *Handler) refuse(w http.ResponseWriter, r *http.Request, info *dialect.RequestInfo, reason retry.Reason, retryAt time.Time, more ...zap.Field) {
 	answer := retry.Answer{ExecutionStatus: retry.NotRun, Reason: reason, RetryAt: retryAt}
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -21,6 +21,8 @@
 	PrepareAnswer(now time.Time, header http.Header, answer retry.Answer) int
 	// IsHealthy reports whether the response to a health check is healthy and from the named server. An empty name matches any server.
 	IsHealthy(server string, response *http.Response) bool
+	// DeadlineCoversBody reports whether a request's deadline is for the last byte of its response, and not for the first one.
+	DeadlineCoversBody() bool
 	// Transparent reports whether the proxy adds no forwarding headers (Via, Forwarded), and replaces refusals of backend servers
 	// by its own answers.
 	Transparent() bool
--- a/dialect/native.go
+++ b/dialect/native.go
@@ -119,5 +119,8 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// DeadlineCoversBody returns false: exports may take longer than their callers wait for the first byte.
+func (Native) DeadlineCoversBody() bool { return false }
+
 // Transparent returns false: Via and Forwarded are added.
 func (Native) Transparent() bool { return false }
