Recognise a request that crashes servers however its body is framed

Cause: the quarantine knows a request by its fingerprint, which left out every body that was not read ahead. All such requests on a path had one fingerprint, and the answers to the others cleared it.

Change: the first 16 KB of every body are read before the first ask, and the fingerprint covers them. A body that ends there is sent with its length and can be replayed. In sequoiaspan's own dialect a body that pauses for 250 ms is streamed as before, as its caller may wait for a part of the response (TestBodiesStreamBothWays failed without this); there the fingerprint covers what came before the pause. The server is not asked to continue for a body that is at hand.

A connection whose request body was not read to its end when the response begins is closed after it. net/http finds the end of such a body only after the handler has returned and starts a background read then; it panics when the next request on the connection is read at once.

Cost: none for requests without a body.

--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -62,6 +62,8 @@
 	if exchange.body.stream == nil {
 		out.ContentLength = int64(len(exchange.body.small))
 		out.TransferEncoding = nil
+		// The caller has been told to continue, and the body is at hand.
+		out.Header.Del("Expect")
 	}
 	out.Close = false
 	return out
--- a/adapters/caller/http/body.go
+++ b/adapters/caller/http/body.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,42 +14,55 @@
 
 // Limits of request bodies.
 const (
-	maxReadAheadBytes = 16 << 10         // bodies up to this size are read before the first attempt and can be replayed
-	bodyReadTimeout   = 30 * time.Second // per read of a caller's body
+	maxReadAheadBytes = 16 << 10               // bodies up to this size are read before the first attempt and can be replayed
+	bodyReadTimeout   = 30 * time.Second       // per read of a caller's body
+	interactivePause  = 250 * time.Millisecond // after which a caller may be waiting for the response
 )
 
-// body is a caller's request body: empty, small and read ahead, or a stream.
+// body is a caller's request body: empty, small and read ahead, or a stream of which the first bytes were read ahead.
 type body struct {
 	small  []byte
 	stream *bodyStream
-	digest uint64 // hash of small
-	length int64  // Content-Length in bytes, -1 if unknown
+	length int64 // in bytes, -1 if unknown
+	// streamDigest is a hash of the stream's bytes that were read ahead.
+	streamDigest uint64
 }
 
-// readBody reads a small body ahead, until the deadline, and prepares any other one for streaming. A zero streamDeadline leaves streaming without
-// one.
-func readBody(w http.ResponseWriter, r *http.Request, deadline, streamDeadline time.Time) (*body, error) {
-	b := &body{length: r.ContentLength}
+// bodyLimits are the limits of reading a request's body. Zero values set none.
+type bodyLimits struct {
+	deadline       time.Time     // to read the body ahead
+	streamDeadline time.Time     // for the last byte of a stream
+	pause          time.Duration // without a byte, after which a body is streamed that has not been read ahead
+}
+
+// readBody reads a body ahead. It prepares one for streaming that is larger, is followed by trailers, or pauses: its caller may wait for a part of
+// the response before it sends more.
+func readBody(w http.ResponseWriter, r *http.Request, limits bodyLimits) (*body, error) {
 	if r.ContentLength == 0 {
-		return b, nil
+		return &body{}, nil
 	}
-	stream := &bodyStream{body: r.Body, control: http.NewResponseController(w), deadline: deadline}
-	if r.ContentLength < 0 || r.ContentLength > maxReadAheadBytes || r.Header.Get("Expect") != "" {
-		b.stream, stream.deadline = stream, streamDeadline
-		// Otherwise net/http consumes the rest of the request body as soon as the response is written.
-		_ = stream.control.EnableFullDuplex()
-		return b, nil
+	stream := newBodyStream(r.Body, http.NewResponseController(w), limits.deadline)
+	var isWhole bool
+	var err error
+	if isSmall := r.ContentLength > 0 && r.ContentLength <= maxReadAheadBytes; isSmall {
+		isWhole, err = true, stream.fillExactly(r.ContentLength)
+	} else {
+		isWhole, err = stream.fill(limits.pause)
 	}
-	b.small = make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(stream, b.small); err != nil {
+	if err != nil {
 		// Otherwise net/http waits for the rest of the body before it writes the answer.
 		_ = stream.control.EnableFullDuplex()
 		w.Header().Set("Connection", "close")
 		return nil, err
 	}
-	stream.clearDeadline()
-	b.digest = xxhash.Sum64(b.small)
-	return b, nil
+	first, digest := stream.firstBytes()
+	if isWhole && len(r.Trailer) == 0 {
+		return &body{small: first, length: int64(len(first))}, nil
+	}
+	// Otherwise net/http consumes the rest of the request body as soon as the response is written.
+	_ = stream.control.EnableFullDuplex()
+	stream.setDeadline(limits.streamDeadline)
+	return &body{stream: stream, length: r.ContentLength, streamDigest: digest}, nil
 }
 
 // open returns a reader of the body for one attempt.
@@ -65,45 +78,16 @@
 
 // replayable reports whether the body can still be sent to another server, from its first byte on.
 func (body *body) replayable() bool {
-	return body.stream == nil || !body.stream.started.Load()
+	return body.stream == nil || body.stream.isUnread()
 }
 
-// isCutOff reports whether a read of the caller's body may fail at its deadline. Bytes that arrive later must not be taken for a request, so the
-// caller's connection cannot be used again.
-func (body *body) isCutOff() bool {
-	return body.stream != nil && body.stream.started.Load() && !body.stream.ended.Load()
+// hasEnded reports whether the body was read to its end. If not, the caller's connection must not be used again: later bytes could be taken for
+// a request, and net/http panics if it finds the end of a body itself and the next request is read at once.
+func (body *body) hasEnded() bool {
+	return body.stream == nil || body.stream.hasEnded()
 }
 
-// bodyStream reads the caller's body with a deadline for each read. Its Close does nothing, since an attempt must not
-// close the body: net/http's server does.
-type bodyStream struct {
-	body     io.Reader
-	control  *http.ResponseController
-	deadline time.Time // for the last byte, zero for none
-	started  atomic.Bool
-	ended    atomic.Bool // read to its end
-}
-
-// Read reads from the caller's body. It fails if no byte arrives within bodyReadTimeout, or by the deadline.
-func (stream *bodyStream) Read(p []byte) (int, error) {
-	stream.started.Store(true)
-	// A writer without support for read deadlines leaves the read bounded by the request's deadline.
-	_ = stream.control.SetReadDeadline(earlier(time.Now().Add(bodyReadTimeout), stream.deadline))
-	n, err := stream.body.Read(p)
-	if err == io.EOF {
-		stream.ended.Store(true)
-		stream.clearDeadline()
-	}
-	return n, err
-}
-
-func (stream *bodyStream) clearDeadline() {
-	_ = stream.control.SetReadDeadline(time.Time{})
-}
-
-func (stream *bodyStream) Close() error { return nil }
-
-// fingerprint returns a nonzero hash that is equal for equal requests. It omits the host, because callers reach each
+// fingerprint returns a nonzero hash that is equal for equal requests. Of a streamed body it covers the bytes that were read ahead. It omits the host, because callers reach each
 // entry instance under a different address.
 func fingerprint(r *http.Request, info *dialect.RequestInfo, body *body) uint64 {
 	digest := xxhash.New()
@@ -113,6 +97,10 @@
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
+	// The framing is left out: the same body may come in chunks or with a length.
 	_, _ = digest.Write(body.small)
+	if body.stream != nil {
+		_, _ = digest.Write(binary.LittleEndian.AppendUint64([]byte{0}, body.streamDigest))
+	}
 	return max(1, digest.Sum64())
 }
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -323,13 +323,13 @@
 	}
 	exchange.dropFallback()
 	exchange.logGivenUp(answer)
-	exchange.closeIfCutOff()
+	exchange.closeUnlessRead()
 	exchange.handler.answer(exchange.w, exchange.r, answer)
 }
 
-// closeIfCutOff has the caller's connection closed after the response if the request's body has not been read to its end.
-func (exchange *exchange) closeIfCutOff() {
-	if exchange.body.isCutOff() {
+// closeUnlessRead has the caller's connection closed after the response unless the request's body has been read to its end.
+func (exchange *exchange) closeUnlessRead() {
+	if !exchange.body.hasEnded() {
 		exchange.w.Header().Set("Connection", "close")
 	}
 }
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -53,7 +53,7 @@
 func (exchange *exchange) forward(a *attempt) {
 	response := a.response
 	exchange.handler.copyHeader(exchange.w.Header(), response.Header)
-	exchange.closeIfCutOff()
+	exchange.closeUnlessRead()
 	announceTrailers(exchange.w.Header(), response)
 	exchange.w.WriteHeader(response.StatusCode)
 	download := exchange.newDownload(a)
@@ -78,7 +78,7 @@
 	defer a.response.Body.Close()
 	exchange.logForwardedFailure(a, executionStatus)
 	exchange.handler.copyHeader(exchange.w.Header(), a.response.Header)
-	exchange.closeIfCutOff()
+	exchange.closeUnlessRead()
 	if a.responseInfo.Refused {
 		exchange.w.Header().Set(dialect.OutcomeHeader, string(executionStatus))
 	}
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -150,30 +150,41 @@
 	if !handler.admit(w, r, &info) {
 		return
 	}
-	bodyDeadline := handler.bodyDeadline(&info)
-	body, err := readBody(w, r, info.Deadline, bodyDeadline)
+	limits := handler.bodyLimits(&info)
+	body, err := readBody(w, r, limits)
 	if err != nil {
 		handler.returnQuota(info.Team)
-		reason := retry.ReasonBadRequest
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			reason = retry.ReasonDeadline
-		}
-		handler.refuse(w, r, &info, reason, time.Time{})
+		handler.refuse(w, r, &info, bodyRefusalReason(err), time.Time{})
 		return
 	}
 	exchange := newExchange(handler, w, r, route, set.Service(route.PickService(handler.splitPoint(route))), info, body)
-	exchange.bodyDeadline = bodyDeadline
+	exchange.bodyDeadline = limits.streamDeadline
 	exchange.rulesVersion, exchange.keysRequired = version, set.KeysRequired()
 	exchange.limitedTeam, exchange.priority = info.Team, priority(set, route, info.Team)
 	exchange.run()
 }
 
-// bodyDeadline returns the deadline for the last bytes of a request's and its response's bodies, zero for none.
-func (handler *Handler) bodyDeadline(info *dialect.RequestInfo) time.Time {
-	if !handler.Dialect.DeadlineCoversBody() {
-		return time.Time{}
+// bodyRefusalReason returns why a request is refused whose body could not be read.
+func bodyRefusalReason(err error) retry.Reason {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return retry.ReasonBodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return retry.ReasonDeadline
+	}
+	return retry.ReasonBadRequest
+}
+
+// bodyLimits returns the limits of reading the request's body. The deadline of a stream is also that of a response's body.
+func (handler *Handler) bodyLimits(info *dialect.RequestInfo) bodyLimits {
+	limits := bodyLimits{deadline: info.Deadline}
+	if handler.Dialect.DeadlineCoversBody() {
+		limits.streamDeadline = info.Deadline.Add(bodyGrace)
+	} else {
+		limits.pause = interactivePause
 	}
-	return info.Deadline.Add(bodyGrace)
+	return limits
 }
 
 // refuse answers a request that was not sent to any backend server. Its log line has the further fields.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -101,7 +102,16 @@
 }
 
 func send(tb testing.TB, client *http.Client, method string, at netip.AddrPort, path string) {
-	request, err := http.NewRequestWithContext(tb.Context(), method, "http://"+at.String()+path, nil)
+	sendBody(tb, client, method, at, path, "")
+}
+
+// sendBody sends a request whose body, if there is one, comes in chunks.
+func sendBody(tb testing.TB, client *http.Client, method string, at netip.AddrPort, path, body string) {
+	var chunks io.Reader
+	if body != "" {
+		chunks = io.MultiReader(strings.NewReader(body))
+	}
+	request, err := http.NewRequestWithContext(tb.Context(), method, "http://"+at.String()+path, chunks)
 	must.NoError(tb, err)
 	response, err := client.Do(request)
 	must.NoError(tb, err)
@@ -114,16 +124,17 @@
 // BenchmarkAddedTime alternates between direct requests to the backend server and requests through an entry instance that
 // asks a home on another instance. It reports the added latency at the median and the 99th percentile.
 func BenchmarkAddedTime(b *testing.B) {
-	for _, method := range []string{http.MethodGet, http.MethodPost} {
-		b.Run(method, func(b *testing.B) {
+	for name, body := range map[string]string{http.MethodGet: "", http.MethodPost: "", "POST in chunks": "amount"} {
+		method, _, _ := strings.Cut(name, " ")
+		b.Run(name, func(b *testing.B) {
 			backends, servers := startBackends(b, 3)
 			f := newFleet(b, 3, servers)
 			through, direct := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
 			remote, server := f.remote(b), backends[0].Address()
 			client := &http.Client{}
 			for b.Loop() {
-				timed(b, direct, func() { send(b, client, method, server, "/balances") })
-				timed(b, through, func() { send(b, client, method, remote, "/balances") })
+				timed(b, direct, func() { sendBody(b, client, method, server, "/balances", body) })
+				timed(b, through, func() { sendBody(b, client, method, remote, "/balances", body) })
 			}
 			for _, quantile := range []float64{50, 99} {
 				added := through.ValueAtQuantile(quantile) - direct.ValueAtQuantile(quantile)
