Let the buffer of a body that is read ahead grow with it

A body in chunks or over 16 KB was read ahead through a buffer of 32 KB while its caller may stall. It is read into its own buffer now, which begins with 512 bytes and is at most 16 KB.

--- a/adapters/caller/http/body.go
+++ b/adapters/caller/http/body.go
@@ -15,6 +15,7 @@
 // Limits of request bodies.
 const (
 	maxReadAheadBytes = 16 << 10               // bodies up to this size are read before the first attempt and can be replayed
+	minReadAheadBytes = 512                    // buffer for a body that is not known to be small
 	bodyReadTimeout   = 30 * time.Second       // per read of a caller's body
 	interactivePause  = 250 * time.Millisecond // after which a caller may be waiting for the response
 )
--- a/adapters/caller/http/body_stream.go
+++ b/adapters/caller/http/body_stream.go
@@ -81,17 +81,15 @@
 
 // readAhead reads the first bytes of the body.
 func (stream *bodyStream) readAhead() {
-	buffer := buffers.Get().(*[copyBufferBytes]byte)
-	defer buffers.Put(buffer)
 	defer close(stream.progress)
-	for rest := maxReadAheadBytes; rest > 0; {
-		n, err := stream.readOnce(buffer[:rest])
-		rest -= n
+	for {
+		n, err := stream.readOnce(stream.spareCapacity())
 		stream.mu.Lock()
-		stream.first = append(stream.first, buffer[:n]...)
-		stream.isFilled = err != nil || rest == 0
+		stream.first = stream.first[:len(stream.first)+n]
+		stream.isFilled = err != nil || len(stream.first) == maxReadAheadBytes
+		isFilled := stream.isFilled
 		stream.mu.Unlock()
-		if err != nil {
+		if isFilled {
 			return
 		}
 		select {
@@ -101,6 +99,19 @@
 	}
 }
 
+// spareCapacity returns the buffer behind the first bytes, which grows with them: a caller that sends little takes up little memory.
+func (stream *bodyStream) spareCapacity() []byte {
+	stream.mu.Lock()
+	defer stream.mu.Unlock()
+	length := len(stream.first)
+	if length == cap(stream.first) {
+		grown := make([]byte, length, min(max(minReadAheadBytes, 2*length), maxReadAheadBytes))
+		copy(grown, stream.first)
+		stream.first = grown
+	}
+	return stream.first[length:cap(stream.first)]
+}
+
 // Read returns the bytes that were read ahead and then reads from the caller's body. It fails if no byte arrives within bodyReadTimeout, or by the
 // deadline.
 func (stream *bodyStream) Read(p []byte) (int, error) {
