--- a/adapters/caller/http/body.go
+++ b/adapters/caller/http/body.go
@@ -88,8 +88,8 @@
 	return body.stream == nil || body.stream.hasEnded()
 }
 
-// fingerprint returns a nonzero hash that is equal for equal requests. Of a streamed body it covers the bytes that were read ahead. It omits the host, because callers reach each
-// entry instance under a different address.
+// fingerprint returns a nonzero hash that is equal for equal requests. Of a streamed body it covers the bytes that were
+// read ahead. It omits the host, because callers reach each entry instance under a different address.
 func fingerprint(r *http.Request, info *dialect.RequestInfo, body *body) uint64 {
 	digest := xxhash.New()
 	for _, part := range []string{
