Decide once whether a copied body ends at a deadline, and hash only streams

A download of a body that was read whole has no deadline from the start, in place of a check at each read and write. The hash of the first bytes is worked out for streamed bodies only; small ones had it made and thrown away on the path of each request. The receivers of bodyStream bear its name.

--- a/adapters/caller/http/body.go
+++ b/adapters/caller/http/body.go
@@ -56,14 +56,13 @@
 		w.Header().Set("Connection", "close")
 		return nil, err
 	}
-	first, digest := stream.firstBytes()
 	if isWhole && len(r.Trailer) == 0 {
-		return &body{small: first, length: int64(len(first))}, nil
+		return &body{small: stream.first, length: int64(len(stream.first))}, nil
 	}
 	// Otherwise net/http consumes the rest of the request body as soon as the response is written.
 	_ = stream.control.EnableFullDuplex()
 	stream.setDeadline(limits.streamDeadline)
-	return &body{stream: stream, length: r.ContentLength, streamDigest: digest}, nil
+	return &body{stream: stream, length: r.ContentLength, streamDigest: stream.digest()}, nil
 }
 
 // open returns a reader of the body for one attempt.
--- a/adapters/caller/http/body_stream.go
+++ b/adapters/caller/http/body_stream.go
@@ -30,28 +30,28 @@
 }
 
 // fillExactly reads a whole body of a known length ahead.
-func (stream *bodyStream) fillExactly(length int64) error {
-	stream.first = make([]byte, length)
-	for read := 0; read < len(stream.first); {
-		stream.extendReadDeadline()
-		n, err := stream.body.Read(stream.first[read:])
+func (bodyStream *bodyStream) fillExactly(length int64) error {
+	bodyStream.first = make([]byte, length)
+	for read := 0; read < len(bodyStream.first); {
+		bodyStream.extendReadDeadline()
+		n, err := bodyStream.body.Read(bodyStream.first[read:])
 		read += n
-		if err != nil && read < len(stream.first) {
+		if err != nil && read < len(bodyStream.first) {
 			return err
 		}
 	}
-	stream.clearReadDeadline()
+	bodyStream.clearReadDeadline()
 	return nil
 }
 
 // fill reads the first bytes of the body ahead in the background. It waits until they are complete, and reports whether they are the whole body, or
 // until no byte has arrived for the pause, if there is one.
-func (stream *bodyStream) fill(pause time.Duration) (isWhole bool, err error) {
-	go stream.readAhead()
-	for stream.awaitProgress(pause) {
-		stream.mu.Lock()
-		isFilled, err := stream.isFilled, stream.err
-		stream.mu.Unlock()
+func (bodyStream *bodyStream) fill(pause time.Duration) (isWhole bool, err error) {
+	go bodyStream.readAhead()
+	for bodyStream.awaitProgress(pause) {
+		bodyStream.mu.Lock()
+		isFilled, err := bodyStream.isFilled, bodyStream.err
+		bodyStream.mu.Unlock()
 		if !isFilled {
 			continue
 		}
@@ -64,15 +64,15 @@
 }
 
 // awaitProgress reports whether a byte arrives, or the body ends, before the pause is over. A pause of zero does not end.
-func (stream *bodyStream) awaitProgress(pause time.Duration) bool {
+func (bodyStream *bodyStream) awaitProgress(pause time.Duration) bool {
 	if pause == 0 {
-		<-stream.progress
+		<-bodyStream.progress
 		return true
 	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
-	case <-stream.progress:
+	case <-bodyStream.progress:
 		return true
 	case <-timer.C:
 		return false
@@ -80,118 +80,118 @@
 }
 
 // readAhead reads the first bytes of the body.
-func (stream *bodyStream) readAhead() {
-	defer close(stream.progress)
+func (bodyStream *bodyStream) readAhead() {
+	defer close(bodyStream.progress)
 	for {
-		n, err := stream.readOnce(stream.spareCapacity())
-		stream.mu.Lock()
-		stream.first = stream.first[:len(stream.first)+n]
-		stream.isFilled = err != nil || len(stream.first) == maxReadAheadBytes
-		isFilled := stream.isFilled
-		stream.mu.Unlock()
+		n, err := bodyStream.readOnce(bodyStream.spareCapacity())
+		bodyStream.mu.Lock()
+		bodyStream.first = bodyStream.first[:len(bodyStream.first)+n]
+		bodyStream.isFilled = err != nil || len(bodyStream.first) == maxReadAheadBytes
+		isFilled := bodyStream.isFilled
+		bodyStream.mu.Unlock()
 		if isFilled {
 			return
 		}
 		select {
-		case stream.progress <- struct{}{}:
+		case bodyStream.progress <- struct{}{}:
 		default:
 		}
 	}
 }
 
 // spareCapacity returns the buffer behind the first bytes, which grows with them: a caller that sends little takes up little memory.
-func (stream *bodyStream) spareCapacity() []byte {
-	stream.mu.Lock()
-	defer stream.mu.Unlock()
-	length := len(stream.first)
-	if length == cap(stream.first) {
+func (bodyStream *bodyStream) spareCapacity() []byte {
+	bodyStream.mu.Lock()
+	defer bodyStream.mu.Unlock()
+	length := len(bodyStream.first)
+	if length == cap(bodyStream.first) {
 		grown := make([]byte, length, min(max(minReadAheadBytes, 2*length), maxReadAheadBytes))
-		copy(grown, stream.first)
-		stream.first = grown
+		copy(grown, bodyStream.first)
+		bodyStream.first = grown
 	}
-	return stream.first[length:cap(stream.first)]
+	return bodyStream.first[length:cap(bodyStream.first)]
 }
 
 // Read returns the bytes that were read ahead and then reads from the caller's body. It fails if no byte arrives within bodyReadTimeout, or by the
 // deadline.
-func (stream *bodyStream) Read(p []byte) (int, error) {
+func (bodyStream *bodyStream) Read(p []byte) (int, error) {
 	for {
-		stream.mu.Lock()
-		stream.started = true
-		n := copy(p, stream.first[stream.offset:])
-		stream.offset += n
-		isFilled, err := stream.isFilled, stream.err
-		stream.mu.Unlock()
+		bodyStream.mu.Lock()
+		bodyStream.started = true
+		n := copy(p, bodyStream.first[bodyStream.offset:])
+		bodyStream.offset += n
+		isFilled, err := bodyStream.isFilled, bodyStream.err
+		bodyStream.mu.Unlock()
 		switch {
 		case n > 0 || len(p) == 0:
 			return n, nil
 		case isFilled && err != nil:
 			return 0, err
 		case isFilled:
-			return stream.readOnce(p)
+			return bodyStream.readOnce(p)
 		}
-		<-stream.progress
+		<-bodyStream.progress
 	}
 }
 
 // readOnce reads from the caller's body.
-func (stream *bodyStream) readOnce(p []byte) (int, error) {
-	stream.extendReadDeadline()
-	n, err := stream.body.Read(p)
+func (bodyStream *bodyStream) readOnce(p []byte) (int, error) {
+	bodyStream.extendReadDeadline()
+	n, err := bodyStream.body.Read(p)
 	if err == io.EOF {
-		stream.clearReadDeadline()
+		bodyStream.clearReadDeadline()
 	}
-	stream.mu.Lock()
-	defer stream.mu.Unlock()
-	stream.err = err
+	bodyStream.mu.Lock()
+	defer bodyStream.mu.Unlock()
+	bodyStream.err = err
 	return n, err
 }
 
 // Close does nothing.
-func (stream *bodyStream) Close() error { return nil }
+func (bodyStream *bodyStream) Close() error { return nil }
 
-// firstBytes returns the bytes that have been read ahead so far, and their hash.
-func (stream *bodyStream) firstBytes() (first []byte, digest uint64) {
-	stream.mu.Lock()
-	defer stream.mu.Unlock()
-	return stream.first, xxhash.Sum64(stream.first)
+// digest returns a hash of the bytes that have been read ahead so far.
+func (bodyStream *bodyStream) digest() uint64 {
+	bodyStream.mu.Lock()
+	defer bodyStream.mu.Unlock()
+	return xxhash.Sum64(bodyStream.first)
 }
 
-// isUnread reports whether no attempt has read from the stream.
-func (stream *bodyStream) isUnread() bool {
-	stream.mu.Lock()
-	defer stream.mu.Unlock()
-	return !stream.started
+// isUnread reports whether no attempt has read from the bodyStream.
+func (bodyStream *bodyStream) isUnread() bool {
+	bodyStream.mu.Lock()
+	defer bodyStream.mu.Unlock()
+	return !bodyStream.started
 }
 
 // hasEnded reports whether the body was read to its end.
-func (stream *bodyStream) hasEnded() bool {
-	stream.mu.Lock()
-	defer stream.mu.Unlock()
-	return stream.err == io.EOF
+func (bodyStream *bodyStream) hasEnded() bool {
+	bodyStream.mu.Lock()
+	defer bodyStream.mu.Unlock()
+	return bodyStream.err == io.EOF
 }
 
 // setDeadline sets the deadline for the last byte, zero for none.
-func (stream *bodyStream) setDeadline(deadline time.Time) {
-	stream.mu.Lock()
-	stream.deadline = deadline
-	isReading := !stream.isFilled
-	stream.mu.Unlock()
+func (bodyStream *bodyStream) setDeadline(deadline time.Time) {
+	bodyStream.mu.Lock()
+	bodyStream.deadline = deadline
+	isReading := !bodyStream.isFilled
+	bodyStream.mu.Unlock()
 	if isReading {
-		stream.extendReadDeadline()
+		bodyStream.extendReadDeadline()
 	} else {
-		stream.clearReadDeadline()
+		bodyStream.clearReadDeadline()
 	}
 }
 
-func (stream *bodyStream) extendReadDeadline() {
-	stream.mu.Lock()
-	deadline := stream.deadline
-	stream.mu.Unlock()
+func (bodyStream *bodyStream) extendReadDeadline() {
+	bodyStream.mu.Lock()
+	deadline := bodyStream.deadline
+	bodyStream.mu.Unlock()
 	// A writer without support for read deadlines leaves the read bounded by the request's deadline.
-	_ = stream.control.SetReadDeadline(earlier(time.Now().Add(bodyReadTimeout), deadline))
+	_ = bodyStream.control.SetReadDeadline(earlier(time.Now().Add(bodyReadTimeout), deadline))
 }
 
-func (stream *bodyStream) clearReadDeadline() {
-	_ = stream.control.SetReadDeadline(time.Time{})
+func (bodyStream *bodyStream) clearReadDeadline() {
+	_ = bodyStream.control.SetReadDeadline(time.Time{})
 }
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -114,7 +114,11 @@
 }
 
 func (exchange *exchange) newDownload(a *attempt) *download {
-	download := &download{exchange: exchange, attempt: a, deadline: exchange.bodyDeadline}
+	download := &download{exchange: exchange, attempt: a}
+	if a.buffered != nil {
+		return download // delivered however slowly the caller reads it
+	}
+	download.deadline = exchange.bodyDeadline
 	if a.response.ContentLength < 0 {
 		download.deadline = earlier(time.Now().Add(maxUnsizedDuration), download.deadline)
 	}
@@ -185,7 +189,7 @@
 	defer buffers.Put(buffer)
 	control := http.NewResponseController(download.exchange.w)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
-	if download.expires() {
+	if !download.deadline.IsZero() {
 		defer time.AfterFunc(time.Until(download.deadline), download.attempt.cancel).Stop()
 	}
 	for {
@@ -209,17 +213,11 @@
 	}
 }
 
-// expires reports whether the copying ends at the deadline. A body that was read completely does not: it is delivered, however slowly the
-// caller reads it.
-func (download *download) expires() bool {
-	return download.attempt.buffered == nil && !download.deadline.IsZero()
-}
-
 // writeDeadline returns the deadline for writing the next n bytes to the caller.
 func (download *download) writeDeadline(n int) time.Time {
 	deadline := time.Now().Add(callerWriteTimeout)
 	isLast := download.offset+int64(n) == download.attempt.response.ContentLength
-	if isLast || !download.expires() {
+	if isLast {
 		return deadline
 	}
 	return earlier(deadline, download.deadline)
@@ -236,7 +234,7 @@
 		return 0, errUnbounded
 	}
 	startedAt := time.Now()
-	if download.expires() && !startedAt.Before(download.deadline) {
+	if !download.deadline.IsZero() && !startedAt.Before(download.deadline) {
 		return 0, errBodyDeadline
 	}
 	stalled := make(chan struct{})
@@ -245,7 +243,7 @@
 		a.cancel()
 	})
 	n, err := a.response.Body.Read(buffer)
-	if err != nil && err != io.EOF && download.expires() && !time.Now().Before(download.deadline) {
+	if err != nil && err != io.EOF && !download.deadline.IsZero() && !time.Now().Before(download.deadline) {
 		timer.Stop()
 		return n, errBodyDeadline
 	}
