Wait for the lists in the test of lost watchers, not a fixed time

Cause: new rules wake the pulls before the watcher has applied the revision that covers them, and lists that only reach a later revision wake none. A pull that reads in between is answered with the old revision, and so may be the next one. The 100 ms of the test held only if the pull read late.

The test waits until each remaining instance has the lists' revision, for up to three pulls, and asserts the same as before.

--- a/entry/lists_test.go
+++ b/entry/lists_test.go
@@ -374,16 +374,21 @@
 					platform.write(at(7), server("payouts-2"))
 				}
 				platform.writeRules(at(8), 4)
-				time.Sleep(100 * time.Millisecond)
 				for _, watcher := range all["entry-0"].watchers() {
 					lost[watcher.Name] = true
-					peers.setDown(watcher.Peer)
+				}
+				// New rules may wake a pull, and the next one may read the lists, before these are at the revision of the rules. Lists
+				// that only reach a later revision wake no pull, so that a third one brings it.
+				for until := time.Now().Add(3 * maxPullWait); time.Now().Before(until) && !reached(all, lost, at(8)); {
+					time.Sleep(10 * time.Millisecond)
 				}
 				for name, e := range all {
-					if !lost[name] {
-						must.Eq(t, at(8), e.lists.revision(), must.Sprint(name))
-						must.Eq(t, 3, e.rules.load().version, must.Sprint(name))
+					if lost[name] {
+						peers.setDown(e.Peer)
+						continue
 					}
+					must.Eq(t, at(8), e.lists.revision(), must.Sprint(name))
+					must.Eq(t, 3, e.rules.load().version, must.Sprint(name))
 				}
 				peers.rulesLost.Store(false)
 				time.Sleep(maxRulesDelay)
@@ -397,6 +402,16 @@
 	}
 }
 
+// reached reports whether the lists of all instances but the lost ones have reached a revision.
+func reached(all map[string]*Entry, lost map[string]bool, revision instance.Revision) bool {
+	for name, e := range all {
+		if !lost[name] && e.lists.revision() != revision {
+			return false
+		}
+	}
+	return true
+}
+
 // TestRoundRobinOfPeers checks that peers are selected equally often, regardless of their position on the list.
 func TestRoundRobinOfPeers(t *testing.T) {
 	e := &Entry{Name: "entry-9", Domain: "domain-0", Peers: &listPeers{}}
