Check in the soak that idle instances use little processor time

After the callers have stopped, no process may use over half a core for two seconds, and it must be the same process.

--- a/testing/soak/soak_test.go
+++ b/testing/soak/soak_test.go
@@ -107,9 +107,10 @@
 	time.Sleep(restoredTime)
 	cancel()
 	calls.Wait()
+	idle := w.judgeIdle()
 	w.ledger.judge()
 	share, count := w.ledger.since(healed)
-	broken := w.ledger.report()
+	broken := w.ledger.report() + idle
 	t.Logf("%d requests of the pressing team ran; at most %.2f of the retries allowed in a window", w.ledger.pressed, w.ledger.mostRetries)
 	t.Logf("%d requests answered, %d served; after the recovery %.3f of %d", w.ledger.answered, w.ledger.served, share, count)
 	switch {
