End reads and writes of a peer session's stream together with the session

Cause: yamux closes a session's channel, then its connection, and marks the streams as closed only after that. A blocked read or write goes round in between, without a pause; if that keeps the closing goroutine from running, it does so for good.

Change: a session owns its connection, whose Close first sets an elapsed deadline on the stream. open closes the session on each failure.

--- a/adapters/peer/yamux/client.go
+++ b/adapters/peer/yamux/client.go
@@ -69,9 +69,8 @@
 
 // link is an open session to one peer with its pending calls.
 type link struct {
+	*session
 	peer    entry.Peer
-	session *yamux.Session
-	stream  *stream
 	mu      sync.Mutex
 	pending map[uint64]chan *wire.Frame
 	next    uint64
@@ -142,11 +141,6 @@
 	}
 }
 
-func (link *link) close() {
-	link.stream.close()
-	_ = link.session.Close()
-}
-
 // link returns the session to a peer and opens one if none is usable.
 func (client *Client) link(ctx context.Context, to entry.Peer) (*link, error) {
 	client.mu.Lock()
@@ -181,7 +175,7 @@
 	case <-link.stream.done:
 		return true
 	default:
-		return link.session.IsClosed()
+		return link.IsClosed()
 	}
 }
 
@@ -196,24 +190,20 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := yamux.Client(conn, sessionConfig(client.Log))
+	opened, err := openSession(conn, client.Log)
 	if err != nil {
-		_ = conn.Close()
 		return nil, err
 	}
-	opened, err := session.OpenStream()
-	if err != nil {
-		_ = session.Close()
-		return nil, err
-	}
-	l := &link{peer: to, session: session, stream: newStream(opened), pending: map[uint64]chan *wire.Frame{}}
+	l := &link{session: opened, peer: to, pending: map[uint64]chan *wire.Frame{}}
 	hello := &wire.Hello{
 		Protocol: protocolVersion, Name: client.Name, Incarnation: string(client.Incarnation), Domain: client.Domain,
 	}
 	if err := l.stream.send(&wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}); err != nil {
+		l.close()
 		return nil, err
 	}
 	if err := client.sendInitialRenewal(l); err != nil {
+		l.close()
 		return nil, err
 	}
 	go l.stream.writeFrames()
@@ -259,7 +249,8 @@
 func isClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrClosedPipe) ||
 		errors.Is(err, yamux.ErrSessionShutdown) || errors.Is(err, yamux.ErrStreamClosed) ||
-		errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, yamux.ErrKeepAliveTimeout) || errors.Is(err, io.ErrUnexpectedEOF)
+		errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, yamux.ErrKeepAliveTimeout) || errors.Is(err, yamux.ErrTimeout) ||
+		errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // replyBuffer has room for a queued decision and the final one, both possibly duplicated by a resent ask.
--- a/adapters/peer/yamux/server.go
+++ b/adapters/peer/yamux/server.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
@@ -87,22 +86,15 @@
 
 func (server *Server) serveSession(ctx context.Context, conn net.Conn) {
 	defer func() { <-server.slots }()
-	defer conn.Close()
-	session, err := yamux.Server(conn, sessionConfig(server.Log))
-	if err != nil {
-		return
-	}
-	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the session, also while it is accepted
 	defer stop()
-	defer session.Close()
-	accepted, err := session.AcceptStream()
+	accepted, err := acceptSession(conn, server.Log)
 	if err != nil {
 		return
 	}
-	s := newStream(accepted)
-	defer s.close()
-	go s.writeFrames()
-	if err := server.serveStream(s); err != nil && ctx.Err() == nil {
+	defer accepted.close()
+	go accepted.stream.writeFrames()
+	if err := server.serveStream(accepted); err != nil && ctx.Err() == nil {
 		server.Log.Warn("peer: session closed after an invalid message", zap.Stringer("from", conn.RemoteAddr()), zap.Error(err))
 	}
 }
@@ -116,8 +108,9 @@
 }
 
 // serveStream handles frames until the stream ends. It returns nil unless the peer sent an invalid message.
-func (server *Server) serveStream(s *stream) error {
-	_ = s.conn.SetReadDeadline(time.Now().Add(helloTimeout))
+func (server *Server) serveStream(session *session) error {
+	s := session.stream
+	session.conn.limitReads(time.Now().Add(helloTimeout))
 	first, err := s.receive()
 	if err != nil {
 		return readError(err)
@@ -126,7 +119,7 @@
 	if hello == nil || hello.GetProtocol() != protocolVersion {
 		return &Error{Op: "hello", Kind: KindProtocol, Err: errProtocol}
 	}
-	_ = s.conn.SetReadDeadline(time.Time{})
+	session.conn.limitReads(time.Time{})
 	server.Handler.MarkStarted(hello.GetName())
 	r := &remote{server: server, stream: s, domain: hello.GetDomain()}
 	r.peer, _ = server.Handler.PeerNamed(hello.GetName())
--- /dev/null
+++ b/adapters/peer/yamux/session.go
@@ -0,0 +1,102 @@
+package yamux
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+)
+
+// session is a yamux session with its single stream. Whatever ends the session also ends reads and writes of the stream.
+type session struct {
+	*yamux.Session
+	conn   *connection
+	stream *stream
+}
+
+// openSession opens a session on a connection, which it owns from then on, and the session's stream.
+func openSession(conn net.Conn, log *zap.Logger) (*session, error) {
+	return newSession(conn, log, yamux.Client, (*yamux.Session).OpenStream)
+}
+
+// acceptSession accepts a session on a connection, which it owns from then on, and waits for the session's stream.
+func acceptSession(conn net.Conn, log *zap.Logger) (*session, error) {
+	return newSession(conn, log, yamux.Server, (*yamux.Session).AcceptStream)
+}
+
+func newSession(
+	conn net.Conn, log *zap.Logger,
+	start func(conn io.ReadWriteCloser, config *yamux.Config) (*yamux.Session, error), get func(*yamux.Session) (*yamux.Stream, error),
+) (*session, error) {
+	guarded := &connection{Conn: conn}
+	started, err := start(guarded, sessionConfig(log))
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	got, err := get(started)
+	if err != nil {
+		_ = started.Close()
+		return nil, err
+	}
+	guarded.attach(got)
+	return &session{Session: started, conn: guarded, stream: newStream(got)}, nil
+}
+
+// close ends the stream and the session.
+func (session *session) close() {
+	session.stream.close()
+	_ = session.Close()
+}
+
+// connection is the connection of a session. The library calls Close as soon as it has marked a session as ended, and marks the streams
+// only after the connection is closed. In between, a blocked read or write of a stream goes round without a pause, and for good if it
+// keeps the goroutine that closes the connection from running. An elapsed deadline ends it.
+type connection struct {
+	net.Conn
+	mu     sync.Mutex
+	stream deadliner // nil until attached
+	closed bool
+}
+
+// deadliner is a stream whose blocked reads and writes end at a deadline.
+type deadliner interface {
+	SetDeadline(deadline time.Time) error
+	SetReadDeadline(deadline time.Time) error
+}
+
+// elapsed is a deadline that has passed.
+var elapsed = time.Unix(1, 0)
+
+// Close ends reads and writes of the stream, then closes the connection.
+func (connection *connection) Close() error {
+	connection.mu.Lock()
+	connection.closed = true
+	if connection.stream != nil {
+		_ = connection.stream.SetDeadline(elapsed)
+	}
+	connection.mu.Unlock()
+	return connection.Conn.Close()
+}
+
+// attach sets the stream, whose reads and writes end at once if the connection is already closed.
+func (connection *connection) attach(stream deadliner) {
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	connection.stream = stream
+	if connection.closed {
+		_ = stream.SetDeadline(elapsed)
+	}
+}
+
+// limitReads sets the deadline of the stream's reads, or none if it is zero. It has no effect once the connection is closed.
+func (connection *connection) limitReads(deadline time.Time) {
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	if connection.stream != nil && !connection.closed {
+		_ = connection.stream.SetReadDeadline(deadline)
+	}
+}
