Go on when descriptors run out, and keep some for servers and instances

Cause: the accept loops of callers and of other instances took a lack of descriptors for the end of the listener, which stops all components. The limit on callers' connections lies above the descriptors of a machine.

Change: listeners wait while the machine lacks descriptors or memory for one more connection. Callers' connections take at most half of the descriptors, sessions of other instances a quarter.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -139,6 +139,7 @@
 type listeners struct {
 	caller, peer, operator net.Listener
 	ready, directory       net.Listener // nil if not set
+	descriptors            uint64       // that the process may have open
 }
 
 func (listeners *listeners) close() {
@@ -150,7 +151,11 @@
 }
 
 func (daemon *Daemon) listen() (*listeners, error) {
-	out := &listeners{}
+	descriptors, err := descriptorLimit()
+	if err != nil {
+		return nil, err
+	}
+	out := &listeners{descriptors: descriptors}
 	for _, l := range []struct {
 		to      *net.Listener
 		address netip.AddrPort
@@ -161,12 +166,12 @@
 		if !l.address.IsValid() {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address.String())
+		opened, err := net.Listen("tcp", l.address.String())
 		if err != nil {
 			out.close()
 			return nil, &Error{Op: "run", Kind: KindListen, Err: err}
 		}
-		*l.to = listener
+		*l.to = newListener(opened, daemon.Log)
 	}
 	return out, nil
 }
@@ -222,7 +227,8 @@
 	}
 	add(func(partCtx context.Context) error { return daemon.entry.Run(partCtx) })
 	add(daemon.quotas.Run)
-	peers := &yamux.Server{Handler: daemon.entry, Quota: daemon.quotas, Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now, MaxSessions: s.Limits.MaxPeerSessions}
+	peers := &yamux.Server{Handler: daemon.entry, Quota: daemon.quotas, Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now,
+		MaxSessions: connectionLimit(s.Limits.MaxPeerSessions, peerDescriptors, listeners.descriptors)}
 	add(func(partCtx context.Context) error { return peers.Serve(partCtx, listeners.peer) })
 
 	operators := &operator.Handler{Status: daemon.entry.Status, Metrics: registry, Log: daemon.Log}
@@ -238,7 +244,7 @@
 		Entry: daemon.entry, Quotas: daemon.quotas, Backend: daemon.backend, Log: daemon.Log, Metrics: registry, Tracer: tracer.Tracer(),
 		Dialect: daemon.Platform.Dialect, Clock: time.Now, Seed: s.JitterSeed,
 	}}
-	limited := netutil.LimitListener(listeners.caller, s.Limits.MaxCallerConnections)
+	limited := netutil.LimitListener(listeners.caller, connectionLimit(s.Limits.MaxCallerConnections, callerDescriptors, listeners.descriptors))
 	add(func(partCtx context.Context) error {
 		stop := context.AfterFunc(partCtx, func() { _ = limited.Close() })
 		defer stop()
