--- a/adapters/peer/yamux/session.go
+++ b/adapters/peer/yamux/session.go
@@ -52,9 +52,9 @@
 	_ = session.Close()
 }
 
-// connection is the connection of a session. The library calls Close as soon as it has marked a session as ended, and marks the streams
-// only after the connection is closed. In between, a blocked read or write of a stream goes round without a pause, and for good if it
-// keeps the goroutine that closes the connection from running. An elapsed deadline ends it.
+// connection is the connection of a session. When a session ends, the library closes the session's shutdown channel, then the connection,
+// and marks the streams as closed last. In between, a blocked read or write of a stream busy-loops, which may keep the goroutine that closes
+// the connection from being scheduled. Close therefore sets an elapsed deadline on the stream first, which ends such calls.
 type connection struct {
 	net.Conn
 	mu     sync.Mutex
--- a/adapters/peer/yamux/session_test.go
+++ b/adapters/peer/yamux/session_test.go
@@ -90,7 +90,7 @@
 }
 
 // TestReadsEndWithTheirSession ends sessions, at either end, whose connection takes long to close. Reads of the stream must return; they
-// went round without a pause until the connection was closed, for good where the closing goroutine did not run.
+// used to busy-loop until the connection was closed, for good where the closing goroutine was not scheduled.
 func TestReadsEndWithTheirSession(t *testing.T) {
 	for slow, side := range []string{"opened", "accepted"} {
 		for _, cause := range []string{"connection", "own close"} {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -227,8 +227,10 @@
 	}
 	add(func(partCtx context.Context) error { return daemon.entry.Run(partCtx) })
 	add(daemon.quotas.Run)
-	peers := &yamux.Server{Handler: daemon.entry, Quota: daemon.quotas, Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now,
-		MaxSessions: connectionLimit(s.Limits.MaxPeerSessions, peerDescriptors, listeners.descriptors)}
+	peers := &yamux.Server{
+		Handler: daemon.entry, Quota: daemon.quotas, Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now,
+		MaxSessions: connectionLimit(s.Limits.MaxPeerSessions, peerDescriptors, listeners.descriptors),
+	}
 	add(func(partCtx context.Context) error { return peers.Serve(partCtx, listeners.peer) })
 
 	operators := &operator.Handler{Status: daemon.entry.Status, Metrics: registry, Log: daemon.Log}
