Pull rules and record their revision in one place

No behaviour changes. go vet and staticcheck are clean; the tests of entry pass with the race detector.

--- a/entry/lists.go
+++ b/entry/lists.go
@@ -319,8 +319,7 @@
 		if entry.lists.apply(pulled) {
 			entry.publishLists()
 		}
-		entry.pullRulesFrom(ctx, seed, entry.rules.load().version)
-		entry.recordPulledRules(pulled)
+		entry.pullRulesWith(ctx, pulled, seed)
 	}
 }
 
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -97,6 +97,12 @@
 	}
 }
 
+// pullRulesWith pulls the rules from an instance that has sent its lists.
+func (entry *Entry) pullRulesWith(ctx context.Context, pulled Lists, from Peer) {
+	entry.pullRulesFrom(ctx, from, entry.rules.load().version)
+	entry.recordPulledRules(pulled)
+}
+
 // followRules applies new versions from the store until the context ends.
 func (entry *Entry) followRules(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/entry/start.go
+++ b/entry/start.go
@@ -74,8 +74,7 @@
 	if err != nil || pulled.Entries.Revision.IsZero() || pulled.Age > staleAfter {
 		return false
 	}
-	entry.pullRulesFrom(ctx, peer, entry.rules.load().version)
-	entry.recordPulledRules(pulled)
+	entry.pullRulesWith(ctx, pulled, peer)
 	entry.recordLeavingServers(pulled.LeavingServers)
 	if entry.lists.apply(pulled) {
 		entry.publishLists()
