--- a/adapters/peer/yamux/session.go
+++ b/adapters/peer/yamux/session.go
@@ -58,16 +58,10 @@
 type connection struct {
 	net.Conn
 	mu     sync.Mutex
-	stream deadliner // nil until attached
+	stream net.Conn // nil until attached
 	closed bool
 }
 
-// deadliner is a stream whose blocked reads and writes end at a deadline.
-type deadliner interface {
-	SetDeadline(deadline time.Time) error
-	SetReadDeadline(deadline time.Time) error
-}
-
 // elapsed is a deadline that has passed.
 var elapsed = time.Unix(1, 0)
 
@@ -83,7 +77,7 @@
 }
 
 // attach sets the stream, whose reads and writes end at once if the connection is already closed.
-func (connection *connection) attach(stream deadliner) {
+func (connection *connection) attach(stream net.Conn) {
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
 	connection.stream = stream
--- a/adapters/peer/yamux/session_test.go
+++ b/adapters/peer/yamux/session_test.go
@@ -58,10 +58,7 @@
 	conns[slow] = conn
 	accepted := make(chan *session, 1)
 	go func() {
-		s, err := acceptSession(conns[1], zap.NewNop())
-		if err != nil {
-			s = nil
-		}
+		s, _ := acceptSession(conns[1], zap.NewNop()) // nil if it fails
 		accepted <- s
 	}()
 	opened, err := openSession(conns[0], zap.NewNop())
