Count an instance's own delay as no silence of servers and peers

Cause: each limit on another process's silence is a timer, and timers run before the connection that is ready to read.

Change: wait.Silence adds the instance's measured delay at the moment the limit would end. It is used for the time of suspicion, for connections to backend servers and to peers, and for replies of peers (asks, tokens, lists, claims).

Cost: nothing but a mutex and one atomic read at the time a limit ends.

--- /dev/null
+++ b/adapters/backend/http/dial.go
@@ -0,0 +1,28 @@
+package http
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/wait"
+)
+
+// dialer opens connections to backend servers. Its time limit is for the server: this instance's own delay is added.
+type dialer struct {
+	net.Dialer
+	delays wait.Delays // nil for none
+}
+
+// DialContext opens a connection. It gives up when the server has been silent for dialTimeout.
+func (dialer *dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := wait.OnSilence(time.Now().Add(dialTimeout), dialer.delays, func() { cancel(context.DeadlineExceeded) })
+	defer silence.Stop()
+	conn, err := dialer.Dialer.DialContext(ctx, network, address)
+	if err != nil && context.Cause(ctx) == context.DeadlineExceeded {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: context.DeadlineExceeded}
+	}
+	return conn, err
+}
--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // Connection handling.
@@ -85,6 +86,7 @@
 // Backend sends requests to backend servers. The zero value is ready to use.
 type Backend struct {
 	Dialect dialect.Dialect // nil for dialect.Native
+	Delays  wait.Delays     // nil for none
 
 	once   sync.Once
 	pooled *http.Transport // keeps idle connections
@@ -95,15 +97,15 @@
 	if backend.Dialect == nil {
 		backend.Dialect = dialect.Native{}
 	}
-	backend.pooled = newTransport()
-	backend.fresh = newTransport()
+	backend.pooled = newTransport(backend.Delays)
+	backend.fresh = newTransport(backend.Delays)
 	backend.fresh.DisableKeepAlives = true
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+func newTransport(delays wait.Delays) *http.Transport {
+	dialer := &dialer{delays: delays, Dialer: net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
+	}}}
 	return &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		IdleConnTimeout: pool.IdleTimeout, MaxIdleConnsPerHost: maxIdlePerServer,
--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // attempt is one request sent to one backend server.
@@ -27,7 +28,7 @@
 	response     *http.Response
 	responseInfo dialect.ResponseInfo
 	buffered     *bufferedBody // the complete body, if it was buffered before forwarding
-	suspectTimer *time.Timer
+	suspicion    *wait.Silence // until the server counts as overdue
 	overdue      bool
 	returned     chan struct{} // closed when Send has returned and can write no more
 }
@@ -44,7 +45,7 @@
 		// A reused connection may have gone silent. Retries use new ones, so that a request hits a silent one at most once.
 		Fresh: e.grant.Fresh || e.grant.Close || !exchange.request.Idempotent || exchange.request.Number() > 1,
 	}
-	a.suspectTimer = time.AfterFunc(e.grant.SuspectAt.Sub(exchange.now()), func() { exchange.post(event{attempt: a, overdue: true}) })
+	a.suspicion = wait.OnSilence(e.grant.SuspectAt, exchange.handler.Entry, func() { exchange.post(event{attempt: a, overdue: true}) })
 	go func() {
 		defer span.End()
 		response, err := exchange.handler.Backend.Send(out, options, &a.progress)
@@ -117,7 +118,7 @@
 		a.progress.CloseConnection()
 		return exchange.handleFailure(a, errMismatched)
 	}
-	a.suspectTimer.Stop()
+	a.suspicion.Stop()
 	if a.responseInfo.Refused || exchange.request.Idempotent && response.StatusCode == http.StatusServiceUnavailable {
 		return exchange.handleRefusal(a, a.responseInfo.Refused)
 	}
@@ -209,7 +210,7 @@
 // close cancels an attempt and reports its outcome to the grant.
 func (exchange *exchange) close(a *attempt, outcome pool.Outcome) {
 	delete(exchange.out, a.id)
-	a.suspectTimer.Stop()
+	a.suspicion.Stop()
 	a.cancel()
 	a.grant.Done(pool.Report{Outcome: outcome, Reused: a.progress.Reused()})
 }
--- a/adapters/caller/http/overload_test.go
+++ b/adapters/caller/http/overload_test.go
@@ -1,14 +1,18 @@
 package http
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	backend "github.com/sequoiaspan/sequoiaspan/adapters/backend/http"
+	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 )
 
@@ -45,3 +49,26 @@
 	must.Between(t, 95, refused, 99)
 	must.Eq(t, 100, refused+sent)
 }
+
+// TestOwnDelayMakesNoServerSuspect guards against second attempts at requests whose answers wait for an overloaded instance.
+func TestOwnDelayMakesNoServerSuspect(t *testing.T) {
+	var sent atomic.Int64
+	handler := newTestHandler(func(_ *http.Request, progress *backend.Progress) (*http.Response, error) {
+		sent.Add(1)
+		progress.SetConnected(false)
+		time.Sleep(time.Second) // longer than the time of suspicion
+		return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: http.NoBody}, nil
+	})
+	address := netip.MustParseAddrPort("127.0.0.1:9")
+	list := instance.List{Entries: []instance.Entry{{Name: "entry-0", Domain: "domain-0", Caller: address, Peer: address}}}
+	for i := range 4 {
+		list.Servers = append(list.Servers, instance.Server{Name: fmt.Sprintf("payouts-%d", i), Service: "payouts", Domain: "domain-0", Address: address})
+	}
+	handler.Entry.ApplyList(list)
+	handler.Entry.ApplyRules(2, "service payouts # asked by: test\nroute /balances service=payouts deadline=10s # asked by: test\n")
+	handler.Entry.RecordDelay(time.Now(), 2*time.Second)
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/balances", nil))
+	must.Eq(t, http.StatusOK, recorder.Code)
+	must.Eq(t, 1, sent.Load())
+}
--- a/adapters/peer/yamux/client.go
+++ b/adapters/peer/yamux/client.go
@@ -20,6 +20,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
@@ -42,6 +43,7 @@
 	Log             *zap.Logger
 	Tracer          trace.Tracer
 	Clock           func() time.Time
+	Delays          wait.Delays // nil for none
 	Versions        func() (rulesVersion, tableEpoch uint64)
 	OnVersions      func(from entry.Peer, rulesVersion, tableEpoch uint64)
 	InitialRenewal  func(peer string) entry.Renewal // sent first in each session; may be nil
@@ -180,15 +182,17 @@
 }
 
 func (client *Client) open(ctx context.Context, to entry.Peer) (*link, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := wait.OnSilence(time.Now().Add(dialTimeout), client.Delays, func() { cancel(context.DeadlineExceeded) })
+	defer silence.Stop()
 	dial := client.Dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
 	conn, err := dial(ctx, "tcp", to.Address.String())
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, context.Cause(ctx))
 	}
 	opened, err := openSession(conn, client.Log)
 	if err != nil {
@@ -294,12 +298,12 @@
 	if err := l.stream.send(client.stamp(id, frame)); err != nil {
 		return nil, client.handleFailure(op, KindUnavailable, to, err)
 	}
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
+	silence, silent := client.onSilence(timeout)
+	defer silence.Stop()
 	select {
 	case reply := <-replies:
 		return reply, nil
-	case <-timer.C:
+	case <-silent:
 		return nil, client.handleFailure(op, KindTimeout, to, nil)
 	case <-l.stream.done:
 		return nil, client.handleFailure(op, KindUnavailable, to, nil)
@@ -308,6 +312,12 @@
 	}
 }
 
+// onSilence returns a channel that is closed when a peer has been silent for the timeout.
+func (client *Client) onSilence(timeout time.Duration) (*wait.Silence, <-chan struct{}) {
+	silent := make(chan struct{})
+	return wait.OnSilence(time.Now().Add(timeout), client.Delays, func() { close(silent) }), silent
+}
+
 func (client *Client) handleFailure(op string, kind Kind, to entry.Peer, err error) error {
 	client.markUnreachable(to.Name, op, err)
 	if kind == KindTimeout {
@@ -372,8 +382,12 @@
 }
 
 func (client *Client) awaitDecision(ctx context.Context, l *link, to entry.Peer, replies <-chan *wire.Frame, send func() error) (pool.Decision, pool.Snapshot, error) {
-	timer := time.NewTimer(client.ResponseTimeout)
-	defer timer.Stop()
+	silence, silent := client.onSilence(client.ResponseTimeout)
+	defer func() { silence.Stop() }()
+	restart := func(timeout time.Duration) {
+		silence.Stop()
+		silence, silent = client.onSilence(timeout)
+	}
 	queued := false
 	for {
 		select {
@@ -383,13 +397,13 @@
 				return decision, snapshot, nil
 			}
 			queued = true
-			timer.Reset(queuedRecheckInterval)
-		case <-timer.C:
+			restart(queuedRecheckInterval)
+		case <-silent:
 			if !queued {
 				return pool.Decision{}, pool.Snapshot{}, client.handleFailure("ask", KindTimeout, to, nil)
 			}
 			queued = false
-			timer.Reset(client.ResponseTimeout)
+			restart(client.ResponseTimeout)
 			if err := send(); err != nil {
 				return pool.Decision{}, pool.Snapshot{}, client.handleFailure("ask", KindUnavailable, to, err)
 			}
--- a/adapters/peer/yamux/yamux_test.go
+++ b/adapters/peer/yamux/yamux_test.go
@@ -210,6 +210,23 @@
 	must.False(t, p.client.Reachable("entry-b"))
 }
 
+// late is an instance that runs late by an hour.
+type late struct{}
+
+func (late) Delay() time.Duration { return time.Hour }
+
+// TestOwnDelayDoesNotMakePeersUnresponsive guards against an overloaded instance that avoids peers whose replies wait for it.
+func TestOwnDelayDoesNotMakePeersUnresponsive(t *testing.T) {
+	p := newPair(t)
+	p.client.ResponseTimeout, p.client.Delays = time.Millisecond, late{}
+	p.handler.silent.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*p.client.ResponseTimeout)
+	defer cancel()
+	_, _, err := p.client.Ask(ctx, p.peer, home.Slice{}, pool.Ask{Attempt: 1, Deadline: time.Now().Add(time.Minute)})
+	must.ErrorIs(t, err, context.DeadlineExceeded)
+	must.True(t, p.client.Reachable("entry-b"))
+}
+
 // rawSession opens a session without a Client.
 func rawSession(t *testing.T, to netip.AddrPort) net.Conn {
 	t.Helper()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -202,9 +202,10 @@
 		RulesSource: platform.Rulebook, Prober: daemon.backend, Replayer: daemon.backend,
 		Log: daemon.Log, Metrics: registry, Tracer: tracer.Tracer(), Clock: time.Now,
 	}
+	daemon.backend.Delays = daemon.entry
 	daemon.client = &yamux.Client{
 		Name: s.Name, Incarnation: incarnation, Domain: s.Domain, ResponseTimeout: time.Duration(s.Intervals.PeerSilence),
-		Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now, Dial: daemon.Dial,
+		Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now, Dial: daemon.Dial, Delays: daemon.entry,
 		Versions: daemon.entry.Versions, OnVersions: daemon.entry.HandleVersions, InitialRenewal: daemon.entry.Greeting,
 	}
 	daemon.entry.Peers = daemon.client
--- /dev/null
+++ b/wait/silence.go
@@ -0,0 +1,67 @@
+package wait
+
+import (
+	"sync"
+	"time"
+)
+
+// Delays measures how late this instance runs.
+type Delays interface {
+	// Delay returns how late this instance may notice what it waits for.
+	Delay() time.Duration
+}
+
+// Silence waits for something from another process. This instance's own delay does not count as the other's silence.
+type Silence struct {
+	delays Delays // nil for none
+	f      func()
+
+	mu       sync.Mutex
+	timer    *time.Timer // nil after Stop
+	deadline time.Time
+}
+
+// OnSilence calls f in a goroutine of its own once the deadline has passed by more than this instance's own delay, unless the Silence is stopped.
+func OnSilence(deadline time.Time, delays Delays, f func()) *Silence {
+	silence := &Silence{delays: delays, f: f, deadline: deadline}
+	silence.mu.Lock()
+	defer silence.mu.Unlock()
+	silence.timer = time.AfterFunc(time.Until(deadline), silence.expire)
+	return silence
+}
+
+// expire calls f, or waits longer if this instance is late.
+func (silence *Silence) expire() {
+	if silence.extend() {
+		return
+	}
+	silence.f()
+}
+
+// extend reports whether f is not to be called now.
+func (silence *Silence) extend() bool {
+	silence.mu.Lock()
+	defer silence.mu.Unlock()
+	if silence.timer == nil {
+		return true
+	}
+	deadline := silence.deadline
+	if silence.delays != nil {
+		deadline = deadline.Add(silence.delays.Delay())
+	}
+	left := time.Until(deadline)
+	if left > 0 {
+		silence.timer.Reset(left)
+	}
+	return left > 0
+}
+
+// Stop ends the wait. A call of f may have begun.
+func (silence *Silence) Stop() {
+	silence.mu.Lock()
+	defer silence.mu.Unlock()
+	if silence.timer != nil {
+		silence.timer.Stop()
+	}
+	silence.timer = nil
+}
--- a/wait/wait.go
+++ b/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait provides a sleep that a context can interrupt.
+// Package wait provides a sleep that a context can interrupt, and time limits for the silence of other processes.
 package wait
 
 import (
