Answer in time for the answer to reach the caller before its deadline

Cause: the deadline of a request counted from its arrival at the handler, without the way there, the way back and the instance's own delay.

Change: a request's deadline, which its servers get too, is earlier than the caller's by 50 ms for both ways (an eighth of short times at most) and twice the measured delay: the request may have waited for the instance, and the answer will. A route's timeout is unchanged. A request that cannot be answered in time is refused before anything is sent.

--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -35,6 +35,12 @@
 // overloadRetryDelay is the Retry-After of a request that this instance is too late for; another instance may have time at once.
 const overloadRetryDelay = 500 * time.Millisecond
 
+// Time reserved for this instance's own answers, so that they reach callers before their deadlines.
+const (
+	callerRoundTrip   = 50 * time.Millisecond // for the request and the answer, together
+	maxRoundTripShare = 0.125                 // of the time until a deadline
+)
+
 // noRulesRetryDelay is the Retry-After while no rules are in force; a starting instance has received them by then.
 const noRulesRetryDelay = time.Second
 
@@ -142,7 +148,12 @@
 		handler.refuse(w, r, &info, retry.ReasonKeyUnknown, time.Time{})
 		return
 	}
-	info.Deadline = earlier(now.Add(route.Timeout), info.Deadline)
+	callerDeadline := earlier(now.Add(route.Timeout), info.Deadline)
+	info.Deadline = handler.answerDeadline(now, now.Add(route.Timeout), info.Deadline)
+	if !now.Before(info.Deadline) {
+		handler.refuse(w, r, &info, retry.ReasonDeadline, now.Add(overloadRetryDelay))
+		return
+	}
 	if !handler.Entry.AdmitRequest() {
 		handler.refuse(w, r, &info, retry.ReasonOverload, now.Add(overloadRetryDelay), zap.Duration("delay", handler.Entry.Delay()))
 		return
@@ -157,7 +168,7 @@
 	if !handler.admit(w, r, &info) {
 		return
 	}
-	limits := handler.bodyLimits(&info)
+	limits := handler.bodyLimits(info.Deadline, callerDeadline)
 	body, err := readBody(w, r, limits)
 	if err != nil {
 		handler.returnQuota(info.Team)
@@ -171,6 +182,17 @@
 	exchange.run()
 }
 
+// answerDeadline returns when this instance answers by itself: at the end of the route's timeout, or early enough for the answer to reach
+// the caller before its deadline, if that is earlier. The caller has waited since it sent the request, and so long does this instance take to
+// notice that the time is up.
+func (handler *Handler) answerDeadline(now, timeout, callerDeadline time.Time) time.Time {
+	if callerDeadline.IsZero() {
+		return timeout
+	}
+	roundTrip := min(callerRoundTrip, time.Duration(maxRoundTripShare*float64(callerDeadline.Sub(now))))
+	return earlier(timeout, callerDeadline.Add(-roundTrip-2*handler.Entry.Delay()))
+}
+
 // bodyRefusalReason returns why a request is refused whose body could not be read.
 func bodyRefusalReason(err error) retry.Reason {
 	var tooLarge *http.MaxBytesError
@@ -184,10 +206,10 @@
 }
 
 // bodyLimits returns the limits of reading the request's body. The deadline of a stream is also that of a response's body.
-func (handler *Handler) bodyLimits(info *dialect.RequestInfo) bodyLimits {
-	limits := bodyLimits{deadline: info.Deadline}
+func (handler *Handler) bodyLimits(deadline, callerDeadline time.Time) bodyLimits {
+	limits := bodyLimits{deadline: deadline}
 	if handler.Dialect.DeadlineCoversBody() {
-		limits.streamDeadline = info.Deadline.Add(bodyGrace)
+		limits.streamDeadline = callerDeadline.Add(bodyGrace)
 	} else {
 		limits.pause = interactivePause
 	}
