Use the delay of the moment for own answers, and no late interval to recover

Cause: the margin was fixed at the arrival of a request, with the delay of that moment; and an interval that took 2 s counted as 2 s in which the instance had caught up, so that it admitted all requests again at once ("on time again" between two delays of 0.54 s).

Change: a request is answered before its deadline by the delay of the moment, at most 0.5 s; the share of refused requests falls only with the time that was not late.

--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -96,7 +96,7 @@
 // run processes the request until the caller has an answer or disconnects.
 func (exchange *exchange) run() {
 	defer exchange.end()
-	deadline := time.NewTimer(time.Until(exchange.request.Deadline))
+	deadline := time.NewTimer(time.Until(exchange.request.Deadline.Add(-maxEarlyAnswer)))
 	defer deadline.Stop()
 	if exchange.claim != nil && !exchange.obtainClaim() {
 		return
@@ -109,6 +109,10 @@
 				return
 			}
 		case <-deadline.C:
+			if left := time.Until(exchange.answerAt()); left > 0 {
+				deadline.Reset(left)
+				continue
+			}
 			exchange.timeOut()
 			return
 		case <-exchange.r.Context().Done():
@@ -121,6 +125,14 @@
 	}
 }
 
+// maxEarlyAnswer is the longest time before its deadline at which a request is answered because this instance is late.
+const maxEarlyAnswer = 500 * time.Millisecond
+
+// answerAt returns when to answer the caller without a response: at the deadline, or earlier by as much as this instance is late now.
+func (exchange *exchange) answerAt() time.Time {
+	return exchange.request.Deadline.Add(-min(exchange.handler.Entry.Delay(), maxEarlyAnswer))
+}
+
 // post queues an event for the exchange, or discards it if the exchange has ended.
 func (exchange *exchange) post(e event) {
 	exchange.endMu.Lock()
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -183,14 +183,13 @@
 }
 
 // answerDeadline returns when this instance answers by itself: at the end of the route's timeout, or early enough for the answer to reach
-// the caller before its deadline, if that is earlier. The caller has waited since it sent the request, and so long does this instance take to
-// notice that the time is up.
+// the caller before its deadline, if that is earlier. The caller has waited since it sent the request, which may be this instance's delay ago.
 func (handler *Handler) answerDeadline(now, timeout, callerDeadline time.Time) time.Time {
 	if callerDeadline.IsZero() {
 		return timeout
 	}
 	roundTrip := min(callerRoundTrip, time.Duration(maxRoundTripShare*float64(callerDeadline.Sub(now))))
-	return earlier(timeout, callerDeadline.Add(-roundTrip-2*handler.Entry.Delay()))
+	return earlier(timeout, callerDeadline.Add(-roundTrip-handler.Entry.Delay()))
 }
 
 // bodyRefusalReason returns why a request is refused whose body could not be read.
--- a/core/lateness/lateness.go
+++ b/core/lateness/lateness.go
@@ -7,7 +7,7 @@
 // Bounds of the share of requests that is refused.
 const (
 	refusalStep     = 0.3             // of the requests that are still admitted, for each interval that was late
-	recoveryTime    = 2 * time.Second // in which the share falls from all requests to none
+	recoveryTime    = 2 * time.Second // in which the share falls from all requests to none, of intervals that are on time
 	maxRefusedShare = 0.98            // some requests are always admitted, as a sample of what the instance can bear
 )
 
@@ -27,13 +27,13 @@
 // The share of refused requests grows only if two intervals in a row were late. After a single one, as when the process was paused,
 // no work is waiting that new requests would have to wait for.
 func (meter *Meter) Observe(now time.Time, delay time.Duration) {
-	elapsed := max(0, now.Sub(meter.observedAt))
+	onTime := max(0, now.Sub(meter.observedAt)-delay)
 	meter.previous, meter.latest, meter.observedAt = meter.latest, delay, now
 	if min(meter.latest, meter.previous) > meter.Tolerance {
 		meter.refused = min(maxRefusedShare, meter.refused+refusalStep*(1-meter.refused))
 		return
 	}
-	meter.refused = max(0, meter.refused-elapsed.Seconds()/recoveryTime.Seconds())
+	meter.refused = max(0, meter.refused-onTime.Seconds()/recoveryTime.Seconds())
 }
 
 // Delay returns how late the instance is: the longer delay of the last two intervals.
--- a/core/lateness/lateness_test.go
+++ b/core/lateness/lateness_test.go
@@ -60,6 +60,15 @@
 	must.Between(t, 1, admitted(meter), 3)
 }
 
+// TestLongIntervalIsNoTimeToRecover guards against an instance that admits all requests again because one interval took long.
+func TestLongIntervalIsNoTimeToRecover(t *testing.T) {
+	meter := &Meter{Tolerance: 100 * time.Millisecond}
+	now := observe(meter, start, 200*time.Millisecond, 50)
+	now = observe(meter, now, 0, 1)
+	observe(meter, now, 5*time.Second, 1)
+	must.Less(t, 10, admitted(meter))
+}
+
 // TestAdmitsAllAgainAfterTheRecoveryTime guards against an instance that goes on refusing when it has caught up.
 func TestAdmitsAllAgainAfterTheRecoveryTime(t *testing.T) {
 	meter := &Meter{Tolerance: 100 * time.Millisecond}
