Let one attempt at a time have a streamed body

Cause: a body of which no byte has been read counted as one that can be sent again, also for a hedge. The attempt that waits for 100 Continue has read nothing, and reads what the hedge has left once it may.

Change: a request with a streamed body has no hedges. Each attempt reads the stream through a reader of its own, and those of earlier attempts fail from then on, as the transport may ask for the body after an attempt has failed.

--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -86,7 +86,7 @@
 	exchange.logOverdue(a)
 	exchange.suspects = append(exchange.suspects, a.grant)
 	a.grant.ReportOverdue(a.progress.Reused())
-	return exchange.perform(exchange.request.Overdue(exchange.now(), exchange.body.replayable()))
+	return exchange.perform(exchange.request.Overdue(exchange.now(), exchange.body.shareable()))
 }
 
 // handleFailure handles an attempt that ended without a response.
--- a/adapters/caller/http/body.go
+++ b/adapters/caller/http/body.go
@@ -69,7 +69,7 @@
 func (body *body) open() io.ReadCloser {
 	switch {
 	case body.stream != nil:
-		return body.stream
+		return body.stream.open()
 	case len(body.small) > 0:
 		return io.NopCloser(bytes.NewReader(body.small))
 	}
@@ -81,6 +81,10 @@
 	return body.stream == nil || body.stream.isUnread()
 }
 
+// shareable reports whether attempts may send the body at the same time. One that waits for 100 Continue has read nothing of a stream, and may
+// read it at any time.
+func (body *body) shareable() bool { return body.stream == nil }
+
 // hasEnded reports whether the body was read to its end. If not, the caller's connection must not be used again: later bytes could be taken for
 // a request, and net/http panics if it finds the end of a body itself and the next request is read at once.
 func (body *body) hasEnded() bool {
--- a/adapters/caller/http/body_stream.go
+++ b/adapters/caller/http/body_stream.go
@@ -1,6 +1,7 @@
 package http
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -10,7 +11,7 @@
 )
 
 // bodyStream reads a caller's body with a deadline for each read. It reads the first bytes ahead, from where an attempt gets them, and the rest when
-// an attempt asks for it. Its Close does nothing, since an attempt must not close the body: net/http's server does.
+// an attempt asks for it.
 type bodyStream struct {
 	body    io.Reader
 	control *http.ResponseController
@@ -21,6 +22,7 @@
 	isFilled bool          // first is complete
 	offset   int           // bytes of first that an attempt has read
 	started  bool          // an attempt has read from the stream
+	reader   *streamReader // of the latest attempt
 	err      error         // of the last read
 	progress chan struct{} // receives a value when first grows, and is closed when it is complete
 }
@@ -112,11 +114,30 @@
 	return bodyStream.first[length:cap(bodyStream.first)]
 }
 
+// streamReader is the stream as one attempt reads it. Its Close does nothing, since an attempt must not close the body: net/http's server does.
+type streamReader struct{ *bodyStream }
+
+// errTakenOver is returned to an attempt that reads a body after another attempt has been started.
+var errTakenOver = errors.New("another attempt reads the request's body")
+
+// open returns a reader for an attempt. Those of earlier attempts fail from then on.
+func (bodyStream *bodyStream) open() *streamReader {
+	bodyStream.mu.Lock()
+	defer bodyStream.mu.Unlock()
+	bodyStream.reader = &streamReader{bodyStream}
+	return bodyStream.reader
+}
+
 // Read returns the bytes that were read ahead and then reads from the caller's body. It fails if no byte arrives within bodyReadTimeout, or by the
 // deadline.
-func (bodyStream *bodyStream) Read(p []byte) (int, error) {
+func (streamReader *streamReader) Read(p []byte) (int, error) {
+	bodyStream := streamReader.bodyStream
 	for {
 		bodyStream.mu.Lock()
+		if bodyStream.reader != streamReader {
+			bodyStream.mu.Unlock()
+			return 0, errTakenOver
+		}
 		bodyStream.started = true
 		n := copy(p, bodyStream.first[bodyStream.offset:])
 		bodyStream.offset += n
@@ -134,6 +155,9 @@
 	}
 }
 
+// Close does nothing.
+func (streamReader *streamReader) Close() error { return nil }
+
 // readOnce reads from the caller's body.
 func (bodyStream *bodyStream) readOnce(p []byte) (int, error) {
 	bodyStream.extendReadDeadline()
@@ -147,9 +171,6 @@
 	return n, err
 }
 
-// Close does nothing.
-func (bodyStream *bodyStream) Close() error { return nil }
-
 // digest returns a hash of the bytes that have been read ahead so far.
 func (bodyStream *bodyStream) digest() uint64 {
 	bodyStream.mu.Lock()
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -256,7 +256,7 @@
 	case e.decision != nil:
 		return exchange.handleDecision(e)
 	case e.hedge:
-		return exchange.perform(exchange.request.Overdue(exchange.now(), exchange.body.replayable()))
+		return exchange.perform(exchange.request.Overdue(exchange.now(), exchange.body.shareable()))
 	case e.overdue:
 		return exchange.handleOverdue(e.attempt)
 	case exchange.out[e.attempt.id] != e.attempt:
--- a/adapters/caller/http/overload_test.go
+++ b/adapters/caller/http/overload_test.go
@@ -23,6 +23,16 @@
 	}
 }
 
+// listServers lists a number of servers of the service payouts.
+func listServers(handler *Handler, servers int) {
+	address := netip.MustParseAddrPort("127.0.0.1:9")
+	list := instance.List{Entries: []instance.Entry{{Name: "entry-0", Domain: "domain-0", Caller: address, Peer: address}}}
+	for i := range servers {
+		list.Servers = append(list.Servers, instance.Server{Name: fmt.Sprintf("payouts-%d", i), Service: "payouts", Domain: "domain-0", Address: address})
+	}
+	handler.Entry.ApplyList(list)
+}
+
 // TestLateInstanceRefusesAtOnce guards against requests that an overloaded instance passes on and whose answers it cannot deliver before their
 // callers leave.
 func TestLateInstanceRefusesAtOnce(t *testing.T) {
@@ -59,12 +69,7 @@
 		time.Sleep(time.Second) // longer than the time of suspicion
 		return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: http.NoBody}, nil
 	})
-	address := netip.MustParseAddrPort("127.0.0.1:9")
-	list := instance.List{Entries: []instance.Entry{{Name: "entry-0", Domain: "domain-0", Caller: address, Peer: address}}}
-	for i := range 4 {
-		list.Servers = append(list.Servers, instance.Server{Name: fmt.Sprintf("payouts-%d", i), Service: "payouts", Domain: "domain-0", Address: address})
-	}
-	handler.Entry.ApplyList(list)
+	listServers(handler, 4)
 	handler.Entry.ApplyRules(2, "service payouts # asked by: test\nroute /balances service=payouts deadline=10s # asked by: test\n")
 	handler.Entry.RecordDelay(time.Now(), 2*time.Second)
 	recorder := httptest.NewRecorder()
