Refuse a quarantined request also when its home has stopped

Cause: only the home of a slice knows which requests are in quarantine. A home that stops takes this with it, and each new one has to lose two servers again.

Change: an instance keeps the quarantines that homes have told it of, and refuses such a request itself when another home has followed, until the quarantine ends, also when the home comes back under its name. While its home stays the home decides, and clears it. Nothing is added to messages. An instance that has not been told may still let a new home lose two servers.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -153,6 +153,7 @@
 	turns       roundRobin
 	notices     notices
 	overload    overload
+	quarantines quarantines
 	leaving     atomic.Bool
 	stopping    atomic.Bool
 	endAt       atomic.Pointer[time.Time] // see SetEnd
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -130,12 +130,18 @@
 	ask.Burst = entry.takeAllowance(slice, &ask)
 	grant := &Grant{Slice: slice, entry: entry, ask: ask}
 	for _, at := range entry.deciders(slice) {
+		if until, found := entry.quarantines.until(entry.Clock(), ask.Fingerprint, at.Name); found {
+			return nil, pool.Decision{Attempt: ask.Attempt, Verdict: pool.Quarantined, RetryAt: until}
+		}
 		if at.Name == entry.Name {
-			return grant.acquireFrom(ctx, &entry.homePools)
+			granted, decision := grant.acquireFrom(ctx, &entry.homePools)
+			entry.quarantines.record(entry.Clock(), ask.Fingerprint, at.Name, decision)
+			return granted, decision
 		}
 		grant.peer = Peer{at.Name, at.Peer}
 		decision, err := entry.askPeer(ctx, grant.peer, slice, ask)
 		if err == nil && decision.Verdict != pool.NotReady {
+			entry.quarantines.record(entry.Clock(), ask.Fingerprint, at.Name, decision)
 			return grant.accept(decision)
 		}
 		if ctx.Err() != nil {
@@ -148,6 +154,9 @@
 		}
 		entry.count("entry.silent-homes")
 	}
+	if until, found := entry.quarantines.until(entry.Clock(), ask.Fingerprint, localDecider); found {
+		return nil, pool.Decision{Attempt: ask.Attempt, Verdict: pool.Quarantined, RetryAt: until}
+	}
 	entry.count("entry.decided-alone")
 	return grant.acquireFrom(ctx, &entry.localPools)
 }
--- a/entry/grant_test.go
+++ b/entry/grant_test.go
@@ -33,6 +33,8 @@
 	return nil
 }
 
+func (*grantingPeers) Renew(context.Context, Peer, Renewal) error { return nil }
+
 // remoteSlice returns an entry with a fake clock, and a slice whose home is another instance.
 func remoteSlice(t *testing.T, peers *grantingPeers, now *time.Time) (*Entry, home.Slice) {
 	t.Helper()
@@ -116,3 +118,35 @@
 	must.Eq(t, []string{"server-0"}, peers.asks[2].Exclude)
 	must.Greater(t, 1<<32, peers.asks[2].Attempt, must.Sprint("the next number after the ask's belongs to another request"))
 }
+
+// TestQuarantineOutlivesItsHome guards against a request that crashes servers reaching further ones when its home is stopped: each new home
+// would have to lose servers to it again.
+func TestQuarantineOutlivesItsHome(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	until := now.Add(time.Minute)
+	verdict := pool.Quarantined
+	peers := &grantingPeers{decide: func(ask pool.Ask) (pool.Decision, pool.Snapshot) {
+		if verdict == pool.Quarantined {
+			return pool.Decision{Attempt: ask.Attempt, Verdict: verdict, RetryAt: until}, pool.Snapshot{}
+		}
+		return grantOf("server-0"), pool.Snapshot{}
+	}}
+	e, slice := remoteSlice(t, peers, &now)
+	crashing := pool.Ask{Attempt: 7, Number: 1, Fingerprint: 77}
+	_, decision := e.Acquire(t.Context(), slice, crashing)
+	must.Eq(t, pool.Quarantined, decision.Verdict)
+
+	verdict = pool.Granted // by a home that knows nothing
+	e.MarkLeaving(e.members.plan().place(slice).home.Name)
+	grant, decision := e.Acquire(t.Context(), slice, crashing)
+	must.Nil(t, grant)
+	must.Eq(t, pool.Quarantined, decision.Verdict)
+	must.Eq(t, until, decision.RetryAt)
+	must.Len(t, 1, peers.asks)
+
+	grant, _ = e.Acquire(t.Context(), slice, pool.Ask{Attempt: 8, Number: 1, Fingerprint: 88})
+	must.NotNil(t, grant)
+	now = until
+	grant, _ = e.Acquire(t.Context(), slice, crashing)
+	must.NotNil(t, grant)
+}
