Separate the state of the overload probe from the goroutine that runs it

The test set the probe's state while the probe ran: the race detector failed TestLateTicksAndQueuedWorkCountAsDelay in the first run of the race detector on this code. The state now has two steps of its own, tick and endProbe, which the test plays without goroutines; it checks the same delays to the millisecond, and that an instance that measures them refuses.

--- a/entry/overload.go
+++ b/entry/overload.go
@@ -39,21 +39,27 @@
 // measureDelay records how late the current tick is, and how long work waits in the scheduler's queue.
 func (entry *Entry) measureDelay() {
 	now := entry.Clock()
-	overload := &entry.overload
+	delay, probes := entry.overload.tick(now, entry.Intervals.Tick)
+	if probes {
+		go entry.probeQueue()
+	}
+	entry.RecordDelay(now, delay)
+}
+
+// tick returns the delay of the tick at an interval or, if it is longer, that of the probe. It reports whether the next probe begins.
+func (overload *overload) tick(now time.Time, interval time.Duration) (delay time.Duration, probes bool) {
 	overload.mu.Lock()
-	delay := overload.waited
+	defer overload.mu.Unlock()
+	delay = overload.waited
 	if !overload.tickedAt.IsZero() {
-		delay = max(delay, now.Sub(overload.tickedAt)-entry.Intervals.Tick)
+		delay = max(delay, now.Sub(overload.tickedAt)-interval)
 	}
 	overload.tickedAt, overload.waited = now, 0
 	if overload.queuedAt.IsZero() {
 		overload.queuedAt = now
-		go entry.probeQueue()
-	} else {
-		delay = max(delay, now.Sub(overload.queuedAt))
+		return delay, true
 	}
-	overload.mu.Unlock()
-	entry.RecordDelay(now, delay)
+	return max(delay, now.Sub(overload.queuedAt)), false
 }
 
 // RecordDelay records how late this instance was in the interval that ends now.
@@ -73,8 +79,11 @@
 // yields to the end of the scheduler's queue. Timers take precedence over that queue, so that a late tick does not show this.
 func (entry *Entry) probeQueue() {
 	runtime.Gosched()
-	now := entry.Clock()
-	overload := &entry.overload
+	entry.overload.endProbe(entry.Clock())
+}
+
+// endProbe records that the probe has run.
+func (overload *overload) endProbe(now time.Time) {
 	overload.mu.Lock()
 	defer overload.mu.Unlock()
 	overload.waited, overload.queuedAt = now.Sub(overload.queuedAt), time.Time{}
--- a/entry/overload_test.go
+++ b/entry/overload_test.go
@@ -10,34 +10,39 @@
 // TestLateTicksAndQueuedWorkCountAsDelay guards against an overloaded instance that takes itself to be on time: timers run before work that
 // waits in the scheduler's queue.
 func TestLateTicksAndQueuedWorkCountAsDelay(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	var state overload
 	now := time.Now()
-	entry := &Entry{Name: "entry-0", Clock: func() time.Time { return now }}
-	entry.Init()
-	tick := func(after time.Duration) {
+	tick := func(after time.Duration, begins bool) time.Duration {
 		now = now.Add(after)
-		entry.measureDelay()
-		entry.overload.mu.Lock()
-		defer entry.overload.mu.Unlock()
-		entry.overload.queuedAt, entry.overload.waited = time.Time{}, 0 // the probe has run at once
+		delay, probes := state.tick(now, interval)
+		must.Eq(t, begins, probes)
+		return delay
 	}
-	tick(0)
-	tick(entry.Intervals.Tick)
-	must.Zero(t, entry.Delay())
-	must.True(t, entry.AdmitRequest())
+	must.Zero(t, tick(0, true))
+	state.endProbe(now)
+	must.Zero(t, tick(interval, true))
+	state.endProbe(now)
+	must.Eq(t, 300*time.Millisecond, tick(interval+300*time.Millisecond, true), must.Sprint("a late tick"))
 
-	tick(entry.Intervals.Tick + 300*time.Millisecond)
-	must.Eq(t, 300*time.Millisecond, entry.Delay())
-	tick(entry.Intervals.Tick)
-	tick(entry.Intervals.Tick)
-	must.Zero(t, entry.Delay())
-	must.True(t, entry.AdmitRequest())
-
-	entry.overload.queuedAt = now
 	for i := range 10 {
-		now = now.Add(entry.Intervals.Tick)
-		entry.measureDelay()
-		must.Eq(t, time.Duration(i+1)*entry.Intervals.Tick, entry.Delay())
+		must.Eq(t, time.Duration(i+1)*interval, tick(interval, false), must.Sprint("a probe that still waits"))
+	}
+	state.endProbe(now.Add(20 * time.Millisecond))
+	must.Eq(t, 520*time.Millisecond, tick(interval, true), must.Sprint("a probe that has waited"))
+	state.endProbe(now)
+	must.Zero(t, tick(interval, true))
+}
+
+// TestLateInstanceAdmitsFewRequests: what is measured decides.
+func TestLateInstanceAdmitsFewRequests(t *testing.T) {
+	entry := &Entry{Name: "entry-0"}
+	entry.Init()
+	must.True(t, entry.AdmitRequest())
+	for range 10 {
+		entry.RecordDelay(time.Now(), 2*entry.Intervals.PeerTimeout)
 	}
+	must.Eq(t, 2*entry.Intervals.PeerTimeout, entry.Delay())
 	refused := 0
 	for range 100 {
 		if !entry.AdmitRequest() {
