Play instances short of processor time and a crowd in the soak, by hand

-starve adds one to three steps to each plan: an instance's process is held to one processor, where a busy loop runs too, while 150 more callers come to it.

--- a/testing/soak/plan_test.go
+++ b/testing/soak/plan_test.go
@@ -19,6 +19,8 @@
 	longer       = 4 * time.Second // than a lease
 	moreNotices  = 2               // steps of noticeActions at the most, beside one of each
 	mostRefusals = 8 * time.Second
+	mostStarved  = 3 // steps
+	mostStarving = 5 * time.Second
 )
 
 // action is a kind of step.
@@ -48,6 +50,7 @@
 	restore    action = "restore"     // the store comes back from a copy that is older than a backend server's leaving
 	isolate    action = "isolate"     // a third of the instances is cut off while a backend server leaves
 	spew       action = "spew"        // a backend server sends bytes that are no answer until the caller closes
+	starve     action = "starve"      // an instance shares a processor with a busy loop while a crowd calls it
 	refuse     action = "refuse"      // all servers of a service refuse most requests without running them
 )
 
@@ -120,6 +123,15 @@
 	plan = append(plan, step{
 		at: time.Duration(loads.Int64N(int64(faultTime))), action: refuse, target: loads.IntN(1000), length: time.Second + time.Duration(loads.Int64N(int64(mostRefusals))),
 	})
+	if *starves {
+		starved := rand.New(rand.NewPCG(seed, 0x50a8))
+		for range 1 + starved.IntN(mostStarved) {
+			plan = append(plan, step{
+				at: time.Duration(starved.Int64N(int64(faultTime))), action: starve,
+				target: starved.IntN(1000), way: starved.IntN(1000), length: time.Second + time.Duration(starved.Int64N(int64(mostStarving))),
+			})
+		}
+	}
 	slices.SortFunc(plan, func(a, b step) int { return int(a.at - b.at) })
 	return plan
 }
--- a/testing/soak/soak_test.go
+++ b/testing/soak/soak_test.go
@@ -22,6 +22,7 @@
 	firstSeed = flag.Uint64("from", 1, "first seed")
 	size      = flag.Int("instances", 6, "entry instances, each a process")
 	verbose   = flag.Bool("plan", false, "print the plans")
+	starves   = flag.Bool("starve", false, "hold instances to a small part of a processor for a while, in each plan")
 
 	// A fleet of two builds.
 	otherBuild = flag.String("other-build", "", "folder of another build's programs, run by every second instance")
--- a/testing/soak/steps_test.go
+++ b/testing/soak/steps_test.go
@@ -35,6 +35,8 @@
 			w.killAll()
 		case pause:
 			w.pause(in, s.length)
+		case starve:
+			w.starve(in, s.length)
 		case reload:
 			w.reload(in, s.way)
 		case storeDown:
--- a/testing/soak/world_test.go
+++ b/testing/soak/world_test.go
@@ -80,6 +80,7 @@
 	instances []*instance
 	servers   []*server
 	names     int
+	crowds    int // callers of crowds so far
 	routes    []route
 	keys      []*teamKey // of calmTeam, oldest first
 	version   int
