Wait in the test of idle connections until the server counts them as idle

No fault of the product. The test now waits for the count after each answer; it still checks that the first connection is closed and the second one is served.

--- a/adapters/caller/http/connections_test.go
+++ b/adapters/caller/http/connections_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 )
 
 // startLimited serves callers with a limit on their connections, and returns the address.
-func startLimited(t *testing.T, limit int, send senderFunc) string {
+func startLimited(t *testing.T, limit int, send senderFunc) (string, *Connections) {
 	t.Helper()
 	handler := newTestHandler(send)
 	handler.Entry.ApplyRules(2, "service payouts # asked by: test\nroute /releases service=payouts repeatable=no deadline=1m # asked by: test\n")
@@ -27,7 +28,7 @@
 	server := &http.Server{Handler: handler, ConnState: connections.Track, ConnContext: connections.Context}
 	go func() { _ = server.Serve(connections.Listen(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return listener.Addr().String()
+	return listener.Addr().String(), connections
 }
 
 // answerAtOnce answers each request.
@@ -36,6 +37,15 @@
 	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: http.NoBody}, nil
 }
 
+// awaitIdle waits until a number of connections are idle: the server counts one as idle after its caller has the answer.
+func awaitIdle(connections *Connections, want int) {
+	for idle := -1; idle != want; runtime.Gosched() {
+		connections.mu.Lock()
+		_, idle = connections.table.Count()
+		connections.mu.Unlock()
+	}
+}
+
 // testCaller is a caller's connection.
 type testCaller struct {
 	net.Conn
@@ -68,12 +78,13 @@
 
 // TestIdleConnectionsGiveWayToRequests guards against callers that cannot get in while others keep connections open that they do not use.
 func TestIdleConnectionsGiveWayToRequests(t *testing.T) {
-	address := startLimited(t, 2, answerAtOnce)
+	address, connections := startLimited(t, 2, answerAtOnce)
 	var callers []*testCaller
-	for range 3 {
+	for i := range 3 {
 		c := connect(t, address)
 		c.send(t)
 		must.Eq(t, http.StatusOK, c.receive(t).StatusCode)
+		awaitIdle(connections, min(i+1, 2))
 		callers = append(callers, c)
 	}
 	_, err := callers[0].reader.ReadByte()
@@ -85,7 +96,7 @@
 // TestRequestsBeyondTheLimitAreRefusedAtOnce guards against requests that wait until other callers have their answers.
 func TestRequestsBeyondTheLimitAreRefusedAtOnce(t *testing.T) {
 	began, end := make(chan struct{}), make(chan struct{})
-	address := startLimited(t, 1, func(request *http.Request, progress *backend.Progress) (*http.Response, error) {
+	address, _ := startLimited(t, 1, func(request *http.Request, progress *backend.Progress) (*http.Response, error) {
 		close(began)
 		<-end
 		return answerAtOnce(request, progress)
