Take the lock of callers' connections once a request less often, and drop dead code

Read again as a newcomer: each read of a body, the server's notice of an active connection and the handler took the lock of all connections to learn that this one is busy; an atomic flag tells it, as a busy connection never gives way. Conn.IsEvicted had lost its caller, a request's timeout was computed twice, and the soak left a process on one processor if the busy loop did not start.

--- a/adapters/caller/http/connections.go
+++ b/adapters/caller/http/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -75,7 +76,7 @@
 
 	// The lock of connections guards these.
 	entry *connection.Conn
-	busy  bool // a byte of a request has been read
+	busy  atomic.Bool // a byte of a request has been read; read without the lock, as a busy connection does not give way
 }
 
 func (connections *Connections) open(conn net.Conn) *callerConn {
@@ -98,13 +99,13 @@
 
 // begin records that a byte of a request has been read. It returns false if the connection has given way to another.
 func (callerConn *callerConn) begin() bool {
-	callerConn.connections.mu.Lock()
-	defer callerConn.connections.mu.Unlock()
-	if callerConn.busy {
+	if callerConn.busy.Load() {
 		return true
 	}
-	callerConn.busy = callerConn.connections.table.Begin(callerConn.entry)
-	return callerConn.busy
+	callerConn.connections.mu.Lock()
+	defer callerConn.connections.mu.Unlock()
+	callerConn.busy.Store(callerConn.connections.table.Begin(callerConn.entry))
+	return callerConn.busy.Load()
 }
 
 // makeRoom closes the longest idle connection if there are too many. It returns false if none is idle.
@@ -154,7 +155,7 @@
 	defer connections.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		callerConn.busy = false
+		callerConn.busy.Store(false)
 		connections.table.End(callerConn.entry)
 	case http.StateClosed, http.StateHijacked:
 		connections.table.Close(callerConn.entry)
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -157,8 +157,9 @@
 		handler.refuse(w, r, &info, retry.ReasonKeyUnknown, time.Time{})
 		return
 	}
-	callerDeadline := earlier(now.Add(route.Timeout), info.Deadline)
-	info.Deadline = handler.answerDeadline(now, now.Add(route.Timeout), info.Deadline)
+	timeout := now.Add(route.Timeout)
+	callerDeadline := earlier(timeout, info.Deadline)
+	info.Deadline = handler.answerDeadline(now, timeout, info.Deadline)
 	if !now.Before(info.Deadline) {
 		handler.refuse(w, r, &info, retry.ReasonDeadline, now.Add(overloadRetryDelay))
 		return
--- a/core/connection/connection.go
+++ b/core/connection/connection.go
@@ -16,12 +16,9 @@
 	Value any // of the Table's user
 
 	idle    *list.Element // nil while a request is under way
-	evicted bool
+	evicted bool          // or closed: its bytes belong to no request
 }
 
-// IsEvicted reports whether the connection has given way. Its bytes belong to no request.
-func (conn *Conn) IsEvicted() bool { return conn.evicted }
-
 // Open adds a connection on which no request has begun.
 func (table *Table) Open(value any) *Conn {
 	table.open++
--- a/testing/soak/starve_test.go
+++ b/testing/soak/starve_test.go
@@ -33,6 +33,7 @@
 		return
 	}
 	bind(process, &one)
+	defer bind(process, &all)
 	loop := exec.Command("/bin/sh", "-c", "while :; do :; done")
 	if err := loop.Start(); err != nil {
 		w.t.Error(err)
@@ -48,7 +49,6 @@
 	calls.Wait()
 	_ = loop.Process.Kill()
 	_ = loop.Wait()
-	bind(process, &all)
 }
 
 // newCrowdCaller returns a caller of a starved instance.
