Cancel dials on silence in one place

No behaviour changes. go vet and staticcheck are clean; the tests of wait and peer/yamux pass with the race detector, and those of dialing.

--- a/adapters/peer/yamux/client.go
+++ b/adapters/peer/yamux/client.go
@@ -182,10 +182,8 @@
 }
 
 func (client *Client) open(ctx context.Context, to entry.Peer) (*link, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := wait.OnSilence(time.Now().Add(dialTimeout), client.Delays, func() { cancel(context.DeadlineExceeded) })
-	defer silence.Stop()
+	ctx, cancel := wait.WithSilence(ctx, time.Now().Add(dialTimeout), client.Delays)
+	defer cancel()
 	dial := client.Dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
--- a/wait/silence.go
+++ b/wait/silence.go
@@ -1,6 +1,7 @@
 package wait
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -30,6 +31,17 @@
 	return silence
 }
 
+// WithSilence returns a context that is canceled, with context.DeadlineExceeded as its cause, on silence past the deadline. The function that it
+// returns releases its resources.
+func WithSilence(parent context.Context, deadline time.Time, delays Delays) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	silence := OnSilence(deadline, delays, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		silence.Stop()
+		cancel(nil)
+	}
+}
+
 // expire calls f, or waits longer if this instance is late.
 func (silence *Silence) expire() {
 	if silence.extend() {
