Count an instance's own delay as no silence of the store

An instance that lacks processor time gave up calls to the store after one second by its own clock, its own delay included, and then counted the store as lost: it cancels its watches and keeps to the lists and rules that it has, while the store answers.

Cause: the limits of the store's clients, of renewals and of the native instance list were plain timers.

Cost: a Silence for each call to the store, none for a request.

--- a/adapters/backend/http/dial.go
+++ b/adapters/backend/http/dial.go
@@ -16,11 +16,5 @@
 
 // DialContext opens a connection. It gives up when the server has been silent for dialTimeout.
 func (dialer *dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := wait.WithSilence(ctx, time.Now().Add(dialTimeout), dialer.delays)
-	defer cancel()
-	conn, err := dialer.Dialer.DialContext(ctx, network, address)
-	if err != nil && context.Cause(ctx) == context.DeadlineExceeded {
-		return nil, &net.OpError{Op: "dial", Net: network, Err: context.DeadlineExceeded}
-	}
-	return conn, err
+	return wait.Dial(ctx, &dialer.Dialer, time.Now().Add(dialTimeout), dialer.delays, network, address)
 }
--- a/adapters/instances/http/http.go
+++ b/adapters/instances/http/http.go
@@ -20,6 +20,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/entry"
 	"github.com/sequoiaspan/sequoiaspan/logs"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // Request limits.
@@ -70,6 +71,7 @@
 	Address    netip.AddrPort
 	HTTPClient http.Client
 	Log        *zap.Logger // nil to log nothing
+	Delays     wait.Delays // nil for none
 
 	mu   sync.Mutex
 	last instance.List
@@ -77,7 +79,7 @@
 
 // List returns the current list. For an unchanged list it returns the previous one with its new time.
 func (client *Client) List(ctx context.Context) (instance.List, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := wait.WithSilence(ctx, time.Now().Add(callTimeout), client.Delays)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+client.Address.String()+"/v1/instances", nil)
 	if err != nil {
--- a/adapters/store/http/http.go
+++ b/adapters/store/http/http.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // Request limits.
@@ -32,11 +33,12 @@
 type Store struct {
 	Address netip.AddrPort
 	Client  http.Client
+	Delays  wait.Delays // nil for none
 }
 
 // Get returns a key's value; revision 0 means that the key is absent.
 func (store *Store) Get(ctx context.Context, key string) ([]byte, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := wait.WithSilence(ctx, time.Now().Add(callTimeout), store.Delays)
 	defer cancel()
 	value, revision, _, err := store.get(ctx, "get", key, nil)
 	return value, revision, err
@@ -44,7 +46,7 @@
 
 // GetNewer returns a key's value if its revision differs from the given one; it does not wait.
 func (store *Store) GetNewer(ctx context.Context, key string, revision uint64) ([]byte, uint64, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := wait.WithSilence(ctx, time.Now().Add(callTimeout), store.Delays)
 	defer cancel()
 	query := url.Values{"after": {strconv.FormatUint(revision, 10)}, "wait": {"0"}}
 	return store.get(ctx, "get", key, query)
@@ -61,7 +63,7 @@
 }
 
 func (store *Store) watchOnce(ctx context.Context, key string, revision uint64) ([]byte, uint64, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	ctx, cancel := wait.WithSilence(ctx, time.Now().Add(watchTimeout), store.Delays)
 	defer cancel()
 	query := url.Values{
 		"after": {strconv.FormatUint(revision, 10)},
@@ -108,7 +110,7 @@
 	if len(value) > maxValueBytes {
 		return 0, &entry.Error{Op: "compare-and-swap", Kind: entry.KindRefused, Err: errors.New("value too large")}
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := wait.WithSilence(ctx, time.Now().Add(callTimeout), store.Delays)
 	defer cancel()
 	header := http.Header{"If-Match": {strconv.FormatUint(revision, 10)}}
 	response, err := store.do(ctx, "compare-and-swap", http.MethodPut, key, nil, header, value)
@@ -131,7 +133,7 @@
 
 // Delete removes a key; deleting an absent key is not an error.
 func (store *Store) Delete(ctx context.Context, key string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := wait.WithSilence(ctx, time.Now().Add(callTimeout), store.Delays)
 	defer cancel()
 	response, err := store.do(ctx, "delete", http.MethodDelete, key, nil, nil, nil)
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"github.com/sequoiaspan/sequoiaspan/quota"
 	"github.com/sequoiaspan/sequoiaspan/settings"
 	"github.com/sequoiaspan/sequoiaspan/trace"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // Kind classifies an Error.
@@ -79,6 +80,8 @@
 	Registrar entry.Registrar   // nil if the platform registers instances itself
 	Rulebook  entry.RulesSource // nil with a Feed, which also delivers the rules
 	Dialect   dialect.Dialect   // nil for sequoiaspan's own dialect
+	// SetDelays receives, before the first call, what tells how late this instance runs; nil if no call needs it.
+	SetDelays func(wait.Delays)
 	// Endpoints returns the handler for the ready and directory addresses; nil if there are none.
 	Endpoints func(*entry.Entry) http.Handler
 }
@@ -180,9 +183,10 @@
 	s := &daemon.Settings
 	incarnation := idempotency.NewIncarnation(s.Name, uuid.NewString())
 	if daemon.Platform == nil {
-		kv := &store.Store{Address: s.Store}
+		kv, list := &store.Store{Address: s.Store}, &instances.Client{Address: s.Instances, Log: daemon.Log}
 		daemon.Platform = &Platform{
-			Store: kv, Instances: &instances.Client{Address: s.Instances, Log: daemon.Log}, Rulebook: &configuration.Follower{Store: kv},
+			Store: kv, Instances: list, Rulebook: &configuration.Follower{Store: kv},
+			SetDelays: func(delays wait.Delays) { kv.Delays, list.Delays = delays, delays },
 		}
 	}
 	platform := daemon.Platform
@@ -202,6 +206,9 @@
 		Log: daemon.Log, Metrics: registry, Tracer: tracer.Tracer(), Clock: time.Now,
 	}
 	daemon.backend.Delays = daemon.entry
+	if platform.SetDelays != nil {
+		platform.SetDelays(daemon.entry)
+	}
 	daemon.client = &yamux.Client{
 		Name: s.Name, Incarnation: incarnation, Domain: s.Domain, ResponseTimeout: time.Duration(s.Intervals.PeerSilence),
 		Log: daemon.Log, Tracer: tracer.Tracer(), Clock: time.Now, Dial: daemon.Dial, Delays: daemon.entry,
--- a/registry/announcer.go
+++ b/registry/announcer.go
@@ -32,6 +32,7 @@
 	Key     string
 	Log     *zap.Logger
 	Clock   func() time.Time
+	Delays  wait.Delays // nil for none
 
 	lease      uint64 // 0 for none
 	generation uint64 // of the store that granted the lease
@@ -121,10 +122,11 @@
 	return nil
 }
 
-// call makes one call with callTimeout and records its result in the monitor. KindLeaseEnded counts as an answer.
+// call makes one call and records its result in the monitor. It gives up when the store has been silent for callTimeout. KindLeaseEnded counts
+// as an answer.
 func (announcer *Announcer) call(ctx context.Context, f func(context.Context) error) error {
 	started := announcer.Clock()
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := wait.WithSilence(ctx, time.Now().Add(callTimeout), announcer.Delays)
 	defer cancel()
 	err := f(limited)
 	switch {
--- a/registry/watcher_test.go
+++ b/registry/watcher_test.go
@@ -37,6 +37,7 @@
 	renewals        []error
 	grants, puts    atomic.Int64
 	ends            atomic.Int64
+	renewalDelay    time.Duration
 }
 
 func nextReply(ctx context.Context, calls *[]scriptedReply) scriptedReply {
@@ -70,7 +71,11 @@
 	return nil
 }
 
-func (scriptedStore *scriptedStore) RenewLease(context.Context, uint64) error {
+func (scriptedStore *scriptedStore) RenewLease(ctx context.Context, _ uint64) error {
+	wait.For(ctx, scriptedStore.renewalDelay)
+	if ctx.Err() != nil {
+		return &Error{Op: "script", Kind: KindUnavailable, Err: context.Cause(ctx)}
+	}
 	if len(scriptedStore.renewals) == 0 {
 		return nil
 	}
@@ -182,3 +187,24 @@
 		<-done
 	})
 }
+
+// late is an instance that runs late by a second.
+type late struct{}
+
+func (late) Delay() time.Duration { return time.Second }
+
+// TestOwnDelayIsNoOutageOfTheStore guards against an overloaded instance that takes the store for lost, and then keeps to old lists and rules,
+// as replies wait for it.
+func TestOwnDelayIsNoOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{renewalDelay: callTimeout + late{}.Delay()/2}
+		announcer := &Announcer{Store: store, Monitor: newMonitor(), Key: "a", Log: zap.NewNop(), Clock: time.Now, Delays: late{}}
+		must.NoError(t, announcer.renewOrAnnounce(t.Context(), []byte("value")))
+		must.NoError(t, announcer.renewOrAnnounce(t.Context(), []byte("value")))
+		must.True(t, announcer.Monitor.keepUntil(time.Now()).IsZero())
+
+		store.renewalDelay = callTimeout + 2*late{}.Delay()
+		must.Error(t, announcer.renewOrAnnounce(t.Context(), []byte("value")))
+		must.False(t, announcer.Monitor.keepUntil(time.Now()).IsZero())
+	})
+}
--- a/wait/silence.go
+++ b/wait/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 )
@@ -42,6 +43,17 @@
 	}
 }
 
+// Dial opens a connection. It gives up on silence past the deadline, with an error that wraps context.DeadlineExceeded.
+func Dial(ctx context.Context, dialer *net.Dialer, deadline time.Time, delays Delays, network, address string) (net.Conn, error) {
+	ctx, cancel := WithSilence(ctx, deadline, delays)
+	defer cancel()
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil && context.Cause(ctx) == context.DeadlineExceeded {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: context.DeadlineExceeded}
+	}
+	return conn, err
+}
+
 // expire calls f, or waits longer if this instance is late.
 func (silence *Silence) expire() {
 	if silence.extend() {
@@ -68,6 +80,13 @@
 	return left > 0
 }
 
+// Extend sets a later deadline, as the other process has been heard of.
+func (silence *Silence) Extend(deadline time.Time) {
+	silence.mu.Lock()
+	defer silence.mu.Unlock()
+	silence.deadline = deadline
+}
+
 // Stop ends the wait. A call of f may have begun.
 func (silence *Silence) Stop() {
 	silence.mu.Lock()
