Wait for silent peers and servers for the queue's delay alone, not for late timers

Cause: each limit on the silence of a peer or a server was extended by the instance's whole delay, that of its timers included. On a machine that many processes share timers are late, but what has arrived is read as soon as the process runs: only the wait in the scheduler's queue can hide an answer. Silences are extended by that wait, and by up to 20 ms once if their own timer is late, as after a pause of the process.

--- a/adapters/backend/http/dial_test.go
+++ b/adapters/backend/http/dial_test.go
@@ -12,7 +12,7 @@
 // late is an instance that runs late by an hour.
 type late struct{}
 
-func (late) Delay() time.Duration { return time.Hour }
+func (late) QueueDelay() time.Duration { return time.Hour }
 
 // TestOwnDelayDoesNotFailConnections guards against an overloaded instance that gives up connections which servers have accepted in time.
 func TestOwnDelayDoesNotFailConnections(t *testing.T) {
--- a/adapters/caller/http/deadline_test.go
+++ b/adapters/caller/http/deadline_test.go
@@ -31,7 +31,7 @@
 				return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: http.NoBody}, nil
 			})
 			handler.Entry.ApplyRules(2, "service payouts # asked by: test\nroute /releases service=payouts repeatable=no deadline=10s # asked by: test\n")
-			handler.Entry.RecordDelay(time.Now(), c.delay)
+			handler.Entry.RecordDelay(time.Now(), 0, c.delay)
 			now := time.Now()
 			handler.Clock = func() time.Time { return now }
 			request := httptest.NewRequest(http.MethodPost, "/releases", nil)
@@ -52,7 +52,7 @@
 		t.Error("sent")
 		return nil, http.ErrHandlerTimeout
 	})
-	handler.Entry.RecordDelay(time.Now(), 2*time.Second)
+	handler.Entry.RecordDelay(time.Now(), 0, 2*time.Second)
 	request := httptest.NewRequest(http.MethodPost, "/releases", nil)
 	request.Header.Set(dialect.DeadlineHeader, time.Now().Add(1900*time.Millisecond).UTC().Format(time.RFC3339Nano))
 	recorder := httptest.NewRecorder()
@@ -70,8 +70,8 @@
 	e := &exchange{handler: handler}
 	e.request.Deadline = deadline
 	must.Eq(t, deadline, e.answerAt())
-	handler.Entry.RecordDelay(time.Now(), 300*time.Millisecond)
+	handler.Entry.RecordDelay(time.Now(), 0, 300*time.Millisecond)
 	must.Eq(t, deadline.Add(-300*time.Millisecond), e.answerAt())
-	handler.Entry.RecordDelay(time.Now(), 3*time.Second)
+	handler.Entry.RecordDelay(time.Now(), 0, 3*time.Second)
 	must.Eq(t, deadline.Add(-maxEarlyAnswer), e.answerAt())
 }
--- a/adapters/caller/http/overload_test.go
+++ b/adapters/caller/http/overload_test.go
@@ -19,7 +19,7 @@
 // overload makes an instance late for some intervals.
 func overload(handler *Handler, delay time.Duration) {
 	for range 50 {
-		handler.Entry.RecordDelay(time.Now(), delay)
+		handler.Entry.RecordDelay(time.Now(), 0, delay)
 	}
 }
 
@@ -71,7 +71,7 @@
 	})
 	listServers(handler, 4)
 	handler.Entry.ApplyRules(2, "service payouts # asked by: test\nroute /balances service=payouts deadline=10s # asked by: test\n")
-	handler.Entry.RecordDelay(time.Now(), 2*time.Second)
+	handler.Entry.RecordDelay(time.Now(), 0, 2*time.Second)
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/balances", nil))
 	must.Eq(t, http.StatusOK, recorder.Code)
--- a/adapters/instances/http/silence_test.go
+++ b/adapters/instances/http/silence_test.go
@@ -30,7 +30,7 @@
 // late is an instance that runs late by an hour.
 type late struct{}
 
-func (late) Delay() time.Duration { return time.Hour }
+func (late) QueueDelay() time.Duration { return time.Hour }
 
 // TestOwnDelayIsNoSilenceOfThePlatform guards against an overloaded instance that gives up calls whose replies wait for it.
 func TestOwnDelayIsNoSilenceOfThePlatform(t *testing.T) {
--- a/adapters/peer/yamux/yamux_test.go
+++ b/adapters/peer/yamux/yamux_test.go
@@ -213,7 +213,7 @@
 // late is an instance that runs late by an hour.
 type late struct{}
 
-func (late) Delay() time.Duration { return time.Hour }
+func (late) QueueDelay() time.Duration { return time.Hour }
 
 // TestOwnDelayDoesNotMakePeersUnresponsive guards against an overloaded instance that avoids peers whose replies wait for it.
 func TestOwnDelayDoesNotMakePeersUnresponsive(t *testing.T) {
--- a/core/lateness/lateness.go
+++ b/core/lateness/lateness.go
@@ -11,15 +11,28 @@
 	maxRefusedShare = 0.98            // some requests are always admitted, as a sample of what the instance can bear
 )
 
+// Recent keeps the delays of the last two intervals. The zero value is on time. It is not safe for concurrent use.
+type Recent struct {
+	latest, previous time.Duration
+}
+
+// Record records the delay of the interval that ends now.
+func (recent *Recent) Record(delay time.Duration) {
+	recent.previous, recent.latest = recent.latest, delay
+}
+
+// Delay returns the longer delay of the last two intervals.
+func (recent *Recent) Delay() time.Duration { return max(recent.latest, recent.previous) }
+
 // Meter keeps the delays of an instance. The zero value is on time. It is not safe for concurrent use.
 type Meter struct {
 	// Tolerance is the delay up to which an instance is on time.
 	Tolerance time.Duration
 
-	latest, previous time.Duration // delays of the last two intervals
-	observedAt       time.Time     // end of the last interval
-	refused          float64       // share of new requests
-	debt             float64       // of requests to be refused
+	Recent
+	observedAt time.Time // end of the last interval
+	refused    float64   // share of new requests
+	debt       float64   // of requests to be refused
 }
 
 // Observe records the delay of the interval that ends now.
@@ -28,7 +41,8 @@
 // no work is waiting that new requests would have to wait for.
 func (meter *Meter) Observe(now time.Time, delay time.Duration) {
 	onTime := max(0, now.Sub(meter.observedAt)-delay)
-	meter.previous, meter.latest, meter.observedAt = meter.latest, delay, now
+	meter.Record(delay)
+	meter.observedAt = now
 	if min(meter.latest, meter.previous) > meter.Tolerance {
 		meter.refused = min(maxRefusedShare, meter.refused+refusalStep*(1-meter.refused))
 		return
@@ -36,9 +50,6 @@
 	meter.refused = max(0, meter.refused-onTime.Seconds()/recoveryTime.Seconds())
 }
 
-// Delay returns how late the instance is: the longer delay of the last two intervals.
-func (meter *Meter) Delay() time.Duration { return max(meter.latest, meter.previous) }
-
 // RefusedShare returns the share of new requests that is refused.
 func (meter *Meter) RefusedShare() float64 { return meter.refused }
 
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -10,6 +10,7 @@
 		"entry.backend-servers": func() int64 { return int64(len(entry.members.plan().listed)) },
 		"entry.grants-held":     func() int64 { return int64(entry.held.count()) },
 		"entry.delay-ms":        func() int64 { return entry.Delay().Milliseconds() },
+		"entry.queue-delay-ms":  func() int64 { return entry.QueueDelay().Milliseconds() },
 	}
 	for name, value := range gauges {
 		metrics.NewRegisteredFunctionalGauge(name, entry.Metrics, value)
--- a/entry/overload_test.go
+++ b/entry/overload_test.go
@@ -15,9 +15,9 @@
 	now := time.Now()
 	tick := func(after time.Duration, begins bool) time.Duration {
 		now = now.Add(after)
-		delay, probes := state.tick(now, interval)
+		late, queued, probes := state.tick(now, interval)
 		must.Eq(t, begins, probes)
-		return delay
+		return max(late, queued)
 	}
 	must.Zero(t, tick(0, true))
 	state.endProbe(now)
@@ -40,7 +40,7 @@
 	entry.Init()
 	must.True(t, entry.AdmitRequest())
 	for range 10 {
-		entry.RecordDelay(time.Now(), 2*entry.Intervals.PeerTimeout)
+		entry.RecordDelay(time.Now(), 2*entry.Intervals.PeerTimeout, 0)
 	}
 	must.Eq(t, 2*entry.Intervals.PeerTimeout, entry.Delay())
 	refused := 0
@@ -51,3 +51,26 @@
 	}
 	must.Greater(t, 50, refused)
 }
+
+// TestLateTimersAreNoQueue guards against an instance on a busy machine that waits longer for silent peers, though what has arrived is read at once.
+func TestLateTimersAreNoQueue(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	entry := &Entry{Name: "entry-0"}
+	entry.Init()
+	now := time.Now()
+	for range 3 {
+		now = now.Add(interval + 150*time.Millisecond)
+		late, queued, _ := entry.overload.tick(now, interval)
+		entry.overload.endProbe(now.Add(time.Millisecond))
+		entry.RecordDelay(now, late, queued)
+	}
+	must.Eq(t, 150*time.Millisecond, entry.Delay())
+	must.Eq(t, time.Millisecond, entry.QueueDelay())
+	for range 2 {
+		now = now.Add(interval)
+		late, queued, _ := entry.overload.tick(now, interval)
+		entry.overload.endProbe(now.Add(300 * time.Millisecond))
+		entry.RecordDelay(now, late, queued)
+	}
+	must.Eq(t, 300*time.Millisecond, entry.QueueDelay())
+}
--- a/registry/watcher_test.go
+++ b/registry/watcher_test.go
@@ -191,19 +191,19 @@
 // late is an instance that runs late by a second.
 type late struct{}
 
-func (late) Delay() time.Duration { return time.Second }
+func (late) QueueDelay() time.Duration { return time.Second }
 
 // TestOwnDelayIsNoOutageOfTheStore guards against an overloaded instance that takes the store for lost, and then keeps to old lists and rules,
 // as replies wait for it.
 func TestOwnDelayIsNoOutageOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &scriptedStore{renewalDelay: callTimeout + late{}.Delay()/2}
+		store := &scriptedStore{renewalDelay: callTimeout + late{}.QueueDelay()/2}
 		announcer := &Announcer{Store: store, Monitor: newMonitor(), Key: "a", Log: zap.NewNop(), Clock: time.Now, Delays: late{}}
 		must.NoError(t, announcer.renewOrAnnounce(t.Context(), []byte("value")))
 		must.NoError(t, announcer.renewOrAnnounce(t.Context(), []byte("value")))
 		must.True(t, announcer.Monitor.keepUntil(time.Now()).IsZero())
 
-		store.renewalDelay = callTimeout + 2*late{}.Delay()
+		store.renewalDelay = callTimeout + 2*late{}.QueueDelay()
 		must.Error(t, announcer.renewOrAnnounce(t.Context(), []byte("value")))
 		must.False(t, announcer.Monitor.keepUntil(time.Now()).IsZero())
 	})
--- a/wait/silence.go
+++ b/wait/silence.go
@@ -9,10 +9,14 @@
 
 // Delays measures how late this instance runs.
 type Delays interface {
-	// Delay returns how late this instance may notice what it waits for.
-	Delay() time.Duration
+	// QueueDelay returns how long what has arrived at this instance waits until it is noticed.
+	QueueDelay() time.Duration
 }
 
+// maxCatchUp is how long a wait goes on after a timer that was itself late by that much: what has arrived meanwhile is read first. The runtime
+// polls the network at least twice in this time.
+const maxCatchUp = 20 * time.Millisecond
+
 // Silence waits for something from another process. This instance's own delay does not count as the other's silence.
 type Silence struct {
 	delays Delays // nil for none
@@ -21,6 +25,7 @@
 	mu       sync.Mutex
 	timer    *time.Timer // nil after Stop
 	deadline time.Time
+	caughtUp bool // the time to catch up after a late timer has been given
 }
 
 // OnSilence calls f in a goroutine of its own once the deadline has passed by more than this instance's own delay, unless the Silence is stopped.
@@ -69,11 +74,16 @@
 	if silence.timer == nil {
 		return true
 	}
-	deadline := silence.deadline
+	now := time.Now()
+	left := silence.deadline.Sub(now)
 	if silence.delays != nil {
-		deadline = deadline.Add(silence.delays.Delay())
+		late := -left
+		left += silence.delays.QueueDelay()
+		if late >= 0 && !silence.caughtUp {
+			silence.caughtUp = true
+			left = max(left, min(late, maxCatchUp))
+		}
 	}
-	left := time.Until(deadline)
 	if left > 0 {
 		silence.timer.Reset(left)
 	}
