Count own delay as no silence in probes, copies, headers and bodies of servers

An instance that lacks processor time failed health checks, copies of requests, headers and bodies of servers whose bytes waited for it, and told the homes so. Cause: plain timers, as in the paths that changed. All use wait.Silence now.

--- a/adapters/backend/http/header.go
+++ b/adapters/backend/http/header.go
@@ -7,6 +7,8 @@
 	"net/textproto"
 	"sync"
 	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // Limits of a response header. The transport limits its size, including that of interim responses.
@@ -23,9 +25,10 @@
 // headerMonitor cancels an attempt whose response header starts but is not complete within headerTimeout.
 type headerMonitor struct {
 	cancel context.CancelCauseFunc
+	delays wait.Delays // nil for none
 
 	mu               sync.Mutex
-	timer            *time.Timer
+	silence          *wait.Silence
 	interimResponses int
 }
 
@@ -38,7 +41,7 @@
 func (headerMonitor *headerMonitor) onFirstByte() {
 	headerMonitor.mu.Lock()
 	defer headerMonitor.mu.Unlock()
-	headerMonitor.timer = time.AfterFunc(headerTimeout, func() { headerMonitor.cancel(errHeaderTimeout) })
+	headerMonitor.silence = wait.OnSilence(time.Now().Add(headerTimeout), headerMonitor.delays, func() { headerMonitor.cancel(errHeaderTimeout) })
 }
 
 // onInterim counts an interim response and stops the timer, since the final response may take longer.
@@ -56,7 +59,7 @@
 func (headerMonitor *headerMonitor) stop() {
 	headerMonitor.mu.Lock()
 	defer headerMonitor.mu.Unlock()
-	if headerMonitor.timer != nil {
-		headerMonitor.timer.Stop()
+	if headerMonitor.silence != nil {
+		headerMonitor.silence.Stop()
 	}
 }
--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -119,7 +119,7 @@
 func (backend *Backend) Send(request *http.Request, options Options, progress *Progress) (*http.Response, error) {
 	backend.once.Do(backend.init)
 	ctx, cancel := context.WithCancelCause(request.Context())
-	headerMonitor := &headerMonitor{cancel: cancel}
+	headerMonitor := &headerMonitor{cancel: cancel, delays: backend.Delays}
 	defer headerMonitor.stop()
 	trace := &httptrace.ClientTrace{GotConn: progress.setConnection}
 	headerMonitor.trace(trace)
--- a/adapters/backend/http/replay.go
+++ b/adapters/backend/http/replay.go
@@ -8,6 +8,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // sendResult is the result of Backend.Send.
@@ -31,9 +32,10 @@
 	out.Host, out.Header = request.Host, request.Header.Clone()
 	started := time.Now()
 	suspectAfter := grant.SuspectAt.Sub(started)
-	overdue, late := time.NewTimer(suspectAfter), time.NewTimer(pool.LateFactor*suspectAfter)
-	defer overdue.Stop()
-	defer late.Stop()
+	overdue := make(chan struct{})
+	suspicion := wait.OnSilence(grant.SuspectAt, backend.Delays, func() { close(overdue) })
+	defer suspicion.Stop()
+	defer wait.OnSilence(started.Add(pool.LateFactor*suspectAfter), backend.Delays, cancel).Stop()
 	progress := &Progress{}
 	results := make(chan sendResult, 1)
 	go func() {
@@ -42,10 +44,9 @@
 	}()
 	for {
 		select {
-		case <-overdue.C:
+		case <-overdue:
 			grant.ReportOverdue(false)
-		case <-late.C:
-			cancel()
+			overdue = nil
 		case r := <-results:
 			grant.Done(backend.reportOf(ctx, grant, r, progress, time.Since(started)))
 			return
--- a/adapters/caller/http/endless_test.go
+++ b/adapters/caller/http/endless_test.go
@@ -108,3 +108,30 @@
 		})
 	}
 }
+
+// TestOwnDelayBreaksNoBodyOff guards against an overloaded instance that breaks bodies off whose bytes wait for it.
+func TestOwnDelayBreaksNoBodyOff(t *testing.T) {
+	const stall = time.Second
+	for name, whole := range map[string]bool{"on time": false, "late": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				body := &slowBody{part: 1 << 10, pause: 3 * stall / 2, length: 2 << 10}
+				handler := newTestHandler(func(request *http.Request, progress *backend.Progress) (*http.Response, error) {
+					progress.SetConnected(false)
+					body.ctx = request.Context()
+					return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: body.length, Body: body}, nil
+				})
+				handler.Entry.ApplyRules(2, fmt.Sprintf("service payouts stall=%s # asked by: test\nroute /exports service=payouts repeatable=no deadline=10s # asked by: test\n", stall))
+				if whole {
+					handler.Entry.RecordDelay(time.Now(), 0, stall)
+				}
+				caller := &countingWriter{header: http.Header{}}
+				defer func() {
+					must.Eq(t, whole, recover() == nil)
+					must.Eq(t, whole, caller.bytes == body.length)
+				}()
+				handler.ServeHTTP(caller, httptest.NewRequest(http.MethodPost, "/exports", nil))
+			})
+		})
+	}
+}
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -18,6 +18,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/retry"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // Limits of copying a response body to the caller.
@@ -238,23 +239,25 @@
 		return 0, errBodyDeadline
 	}
 	stalled := make(chan struct{})
-	timer := time.AfterFunc(download.exchange.service.StallTimeout, func() {
+	silence := wait.OnSilence(startedAt.Add(download.exchange.service.StallTimeout), download.exchange.handler.Entry, func() {
 		close(stalled)
 		a.cancel()
 	})
 	n, err := a.response.Body.Read(buffer)
+	silence.Stop()
 	if err != nil && err != io.EOF && !download.deadline.IsZero() && !time.Now().Before(download.deadline) {
-		timer.Stop()
 		return n, errBodyDeadline
 	}
 	if err == nil && download.throughput.read(time.Since(startedAt), download.exchange.service.StallTimeout, n) {
-		timer.Stop()
 		a.cancel()
 		return n, errStalled
 	}
-	if !timer.Stop() && err != nil && err != io.EOF {
-		<-stalled
-		return n, errStalled
+	select {
+	case <-stalled:
+		if err != nil && err != io.EOF {
+			return n, errStalled
+		}
+	default:
 	}
 	return n, err
 }
--- a/entry/overload_test.go
+++ b/entry/overload_test.go
@@ -1,10 +1,16 @@
 package entry
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/sequoiaspan/sequoiaspan/core/home"
+	"github.com/sequoiaspan/sequoiaspan/core/pool"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 // TestLateTicksAndQueuedWorkCountAsDelay guards against an overloaded instance that takes itself to be on time: timers run before work that
@@ -74,3 +80,29 @@
 	}
 	must.Eq(t, 300*time.Millisecond, entry.QueueDelay())
 }
+
+// slowProber finds a server healthy after a time, unless the probe is given up before. It keeps the result.
+type slowProber struct {
+	time    time.Duration
+	healthy bool
+}
+
+func (s *slowProber) Probe(ctx context.Context, _ pool.Probe, _ string) (bool, Notice) {
+	wait.For(ctx, s.time)
+	s.healthy = ctx.Err() == nil
+	return s.healthy, Notice{}
+}
+
+// TestOwnDelayFailsNoProbe guards against an overloaded instance that finds servers unhealthy as their health answers wait for it.
+func TestOwnDelayFailsNoProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &slowProber{time: probeTimeout + time.Second/2}
+		entry := &Entry{Name: "entry-0", Prober: prober}
+		entry.Init()
+		for _, delay := range []time.Duration{0, time.Second} {
+			entry.RecordDelay(time.Now(), 0, delay)
+			entry.probe(t.Context(), &entry.homePools, home.Slice{Service: "payouts"}, pool.Probe{Server: "payouts-0"})
+			must.Eq(t, delay > 0, prober.healthy)
+		}
+	})
+}
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -11,6 +11,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/notice"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
+	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
 const poolShards = 32
@@ -170,7 +171,7 @@
 const probeTimeout = time.Second
 
 func (entry *Entry) probe(ctx context.Context, pools *pools, slice home.Slice, probe pool.Probe) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := wait.WithSilence(ctx, time.Now().Add(probeTimeout), entry)
 	defer cancel()
 	entry.count("home.probes")
 	path := rules.DefaultHealthPath
