--- a/core/lateness/measure_test.go
+++ b/core/lateness/measure_test.go
@@ -69,43 +69,55 @@
 	inTime     map[int]int
 	late       int // answered after the caller has left
 	maxDelay   time.Duration
+	observedAt time.Time
+	refuse     func(now time.Time, refused task) // nil if callers don't come back
 }
 
 type task struct {
+	tries     int       // refusals so far
 	arrivedAt time.Time // of the request at the instance
 	readyAt   time.Time
 	isAnswer  bool
 }
 
-type answered struct{ arrivedAt, at time.Time }
+type answered struct {
+	task
+	at time.Time
+}
 
-// run simulates the instance in steps of a millisecond, and returns the answers in time in each second.
+// run simulates the instance in steps of a millisecond.
 func (s *simulation) run() {
-	s.inTime = map[int]int{}
-	observedAt := start
 	for now, arrivals := start, 0.0; now.Before(start.Add(simulated)); now = now.Add(time.Millisecond) {
 		for arrivals += perSecond / 1000.0; arrivals >= 1; arrivals-- {
 			s.queue = append(s.queue, task{arrivedAt: now, readyAt: now})
 		}
-		for len(s.answers) > 0 && !s.answers[0].at.After(now) {
-			s.queue = append(s.queue, task{arrivedAt: s.answers[0].arrivedAt, readyAt: now, isAnswer: true})
-			s.answers = s.answers[1:]
-		}
 		share := 2.5
 		if now.Sub(start) < overloadTime {
 			share = loadedShare
 		}
-		s.spare += time.Duration(share * float64(time.Millisecond))
-		s.work(now)
-		var delay time.Duration
-		if len(s.queue) > 0 {
-			delay = now.Sub(s.queue[0].readyAt)
-		}
-		s.maxDelay = max(s.maxDelay, delay)
-		if now.Sub(observedAt) >= interval {
-			observedAt = now
-			s.policy.observe(now, delay)
-		}
+		s.step(now, share)
+	}
+}
+
+// step simulates a millisecond, in which the instance has a share of a processor.
+func (s *simulation) step(now time.Time, share float64) {
+	if s.inTime == nil {
+		s.inTime, s.observedAt = map[int]int{}, now
+	}
+	for len(s.answers) > 0 && !s.answers[0].at.After(now) {
+		s.queue = append(s.queue, task{arrivedAt: s.answers[0].arrivedAt, readyAt: now, isAnswer: true})
+		s.answers = s.answers[1:]
+	}
+	s.spare += time.Duration(share * float64(time.Millisecond))
+	s.work(now)
+	var delay time.Duration
+	if len(s.queue) > 0 {
+		delay = now.Sub(s.queue[0].readyAt)
+	}
+	s.maxDelay = max(s.maxDelay, delay)
+	if now.Sub(s.observedAt) >= interval {
+		s.observedAt = now
+		s.policy.observe(now, delay)
 	}
 }
 
@@ -126,9 +138,12 @@
 		case s.policy.admit(s.inProgress):
 			s.spare -= acceptCost + forwardCost
 			s.inProgress++
-			s.answers = append(s.answers, answered{next.arrivedAt, now.Add(serverTime)})
+			s.answers = append(s.answers, answered{next, now.Add(serverTime)})
 		default:
 			s.spare -= acceptCost + refuseCost
+			if s.refuse != nil {
+				s.refuse(now, next)
+			}
 		}
 	}
 	if len(s.queue) == 0 {
