--- a/adapters/backend/http/dial_test.go
+++ b/adapters/backend/http/dial_test.go
@@ -7,12 +7,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-)
-
-// late is an instance that runs late by an hour.
-type late struct{}
 
-func (late) QueueDelay() time.Duration { return time.Hour }
+	"github.com/sequoiaspan/sequoiaspan/testing/slow"
+)
 
 // TestOwnDelayDoesNotFailConnections guards against an overloaded instance that gives up connections which servers have accepted in time.
 func TestOwnDelayDoesNotFailConnections(t *testing.T) {
@@ -21,7 +18,7 @@
 	defer listener.Close()
 	limitPassed := time.NewTimer(dialTimeout + 50*time.Millisecond)
 	waitForLimit := func(string, string, syscall.RawConn) error { <-limitPassed.C; return nil }
-	d := &dialer{delays: late{}, Dialer: net.Dialer{Control: waitForLimit}}
+	d := &dialer{delays: slow.Instance(time.Hour), Dialer: net.Dialer{Control: waitForLimit}}
 	conn, err := d.DialContext(t.Context(), "tcp", listener.Addr().String())
 	must.NoError(t, err)
 	must.NoError(t, conn.Close())
--- a/adapters/backend/http/silence_test.go
+++ b/adapters/backend/http/silence_test.go
@@ -15,13 +15,14 @@
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/entry"
+	"github.com/sequoiaspan/sequoiaspan/testing/slow"
 )
 
 // TestOwnDelayCancelsNoHeader guards against an overloaded instance that gives up responses whose header waits for it.
 func TestOwnDelayCancelsNoHeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancelCause(t.Context())
-		monitor := &headerMonitor{cancel: cancel, delays: late{}}
+		monitor := &headerMonitor{cancel: cancel, delays: slow.Instance(time.Hour)}
 		monitor.onFirstByte()
 		time.Sleep(headerTimeout + time.Second)
 		must.NoError(t, ctx.Err())
@@ -60,7 +61,7 @@
 	for _, delayed := range []bool{true, false} {
 		b := &Backend{}
 		if delayed {
-			b.Delays = late{}
+			b.Delays = slow.Instance(time.Hour)
 		}
 		grant, decision := instances.Acquire(t.Context(), home.Slice{Service: "payouts"}, pool.Ask{
 			Attempt: 1, Idempotent: true, Number: 1, Deadline: time.Now().Add(10 * time.Second),
--- a/adapters/peer/yamux/yamux_test.go
+++ b/adapters/peer/yamux/yamux_test.go
@@ -29,6 +29,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/entry"
 	"github.com/sequoiaspan/sequoiaspan/quota"
+	"github.com/sequoiaspan/sequoiaspan/testing/slow"
 	"github.com/sequoiaspan/sequoiaspan/wire"
 )
 
@@ -210,15 +211,10 @@
 	must.False(t, p.client.Reachable("entry-b"))
 }
 
-// late is an instance that runs late by an hour.
-type late struct{}
-
-func (late) QueueDelay() time.Duration { return time.Hour }
-
 // TestOwnDelayDoesNotMakePeersUnresponsive guards against an overloaded instance that avoids peers whose replies wait for it.
 func TestOwnDelayDoesNotMakePeersUnresponsive(t *testing.T) {
 	p := newPair(t)
-	p.client.ResponseTimeout, p.client.Delays = time.Millisecond, late{}
+	p.client.ResponseTimeout, p.client.Delays = time.Millisecond, slow.Instance(time.Hour)
 	p.handler.silent.Store(true)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*p.client.ResponseTimeout)
 	defer cancel()
--- a/registry/watcher_test.go
+++ b/registry/watcher_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
+	"github.com/sequoiaspan/sequoiaspan/testing/slow"
 	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
@@ -188,22 +189,18 @@
 	})
 }
 
-// late is an instance that runs late by a second.
-type late struct{}
-
-func (late) QueueDelay() time.Duration { return time.Second }
-
 // TestOwnDelayIsNoOutageOfTheStore guards against an overloaded instance that takes the store for lost, and then keeps to old lists and rules,
 // as replies wait for it.
 func TestOwnDelayIsNoOutageOfTheStore(t *testing.T) {
+	const delay = time.Second
 	synctest.Test(t, func(t *testing.T) {
-		store := &scriptedStore{renewalDelay: callTimeout + late{}.QueueDelay()/2}
-		announcer := &Announcer{Store: store, Monitor: newMonitor(), Key: "a", Log: zap.NewNop(), Clock: time.Now, Delays: late{}}
+		store := &scriptedStore{renewalDelay: callTimeout + delay/2}
+		announcer := &Announcer{Store: store, Monitor: newMonitor(), Key: "a", Log: zap.NewNop(), Clock: time.Now, Delays: slow.Instance(delay)}
 		must.NoError(t, announcer.renewOrAnnounce(t.Context(), []byte("value")))
 		must.NoError(t, announcer.renewOrAnnounce(t.Context(), []byte("value")))
 		must.True(t, announcer.Monitor.keepUntil(time.Now()).IsZero())
 
-		store.renewalDelay = callTimeout + 2*late{}.QueueDelay()
+		store.renewalDelay = callTimeout + 2*delay
 		must.Error(t, announcer.renewOrAnnounce(t.Context(), []byte("value")))
 		must.False(t, announcer.Monitor.keepUntil(time.Now()).IsZero())
 	})
