--- a/adapters/backend/http/silence_test.go
+++ b/adapters/backend/http/silence_test.go
@@ -51,19 +51,19 @@
 	}))
 	defer server.Close()
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	instances := &entry.Entry{Name: "entry-0", FirstStart: true}
-	instances.Init()
-	instances.ApplyList(instance.List{
+	asking := &entry.Entry{Name: "entry-0", FirstStart: true}
+	asking.Init()
+	asking.ApplyList(instance.List{
 		Entries: []instance.Entry{{Name: "entry-0", Domain: "domain-0", Caller: address, Peer: address}},
 		Servers: []instance.Server{{Name: "payouts-0", Service: "payouts", Domain: "domain-0", Address: address}},
 	})
-	instances.ApplyRules(1, "service payouts # asked by: test\nroute /releases service=payouts deadline=10s # asked by: test\n")
+	asking.ApplyRules(1, "service payouts # asked by: test\nroute /releases service=payouts deadline=10s # asked by: test\n")
 	for _, delayed := range []bool{true, false} {
 		b := &Backend{}
 		if delayed {
 			b.Delays = slow.Instance(time.Hour)
 		}
-		grant, decision := instances.Acquire(t.Context(), home.Slice{Service: "payouts"}, pool.Ask{
+		grant, decision := asking.Acquire(t.Context(), home.Slice{Service: "payouts"}, pool.Ask{
 			Attempt: 1, Idempotent: true, Number: 1, Deadline: time.Now().Add(10 * time.Second),
 		})
 		must.NotNil(t, grant, must.Sprint(decision))
