Double the requests of the encoded-prefix case

Cause: at 800 requests a run had 4 to 8 of them twice, so that a run without any was possible. Change: 1,600 requests; the share of the lost answers stays.

--- a/review/standins-2/prefix.go
+++ b/review/standins-2/prefix.go
@@ -13,7 +13,7 @@
 
 // Figures of the case. Half of the upstreams lose the answer of 6 in 100 of the requests that they ran.
 const (
-	prefixRequests  = 800
+	prefixRequests  = 1600
 	prefixParallel  = 8
 	prefixWork      = 20 * time.Millisecond
 	prefixDeadline  = 3 * time.Second
