Move the review's stand-ins to a folder named platform

Cause: TestWireNamesStayHere keeps the names of the users' protocol to folders of that name, and walks through review/ too. Change: review/standins-2 is review/second/platform; a function and a field that nothing uses are gone.

--- a/review/standins-2/main.go
+++ b/review/second/platform/main.go
@@ -1,4 +1,4 @@
-// Command standins-2 plays the cases of the second review: it starts the system's instances as processes, and stands in for the platform's
+// Command platform plays the cases of the second review: it starts the system's instances as processes, and stands in for the platform's
 // store, the upstreams and the clients. It exits with 1 if the case's rule was broken, with 0 if it held, and with 2 if the case could not run.
 package main
 
--- a/review/standins-2/store.go
+++ b/review/second/platform/store.go
@@ -91,13 +91,6 @@
 	store.write(key, base64.StdEncoding.EncodeToString([]byte(value)), 0)
 }
 
-// remove deletes a record on behalf of an upstream.
-func (store *store) remove(key string) {
-	store.mu.Lock()
-	defer store.mu.Unlock()
-	store.erase(key)
-}
-
 func (store *store) write(key, value string, lease uint64) {
 	store.revision++
 	created := store.revision
--- a/review/standins-2/upstream.go
+++ b/review/second/platform/upstream.go
@@ -52,7 +52,6 @@
 type upstream struct {
 	id, service string
 	slots       int
-	queue       int
 	work        time.Duration
 	runs        *runs
 	listener    net.Listener
