--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -190,10 +190,16 @@
 // one if there is no response.
 func (backend *Backend) Probe(ctx context.Context, probe pool.Probe, path string) (healthy bool, notice entry.Notice) {
 	backend.once.Do(backend.init)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+probe.Address.String()+path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+probe.Address.String(), nil)
 	if err != nil {
 		return false, entry.Notice{}
 	}
+	// Unlike url.Parse, it takes all of the path as such, whatever characters it has.
+	target, err := url.ParseRequestURI(path)
+	if err != nil {
+		return false, entry.Notice{}
+	}
+	request.URL.Path, request.URL.RawPath, request.URL.RawQuery = target.Path, target.RawPath, target.RawQuery
 	response, err := backend.fresh.RoundTrip(request)
 	if err != nil {
 		return false, entry.Notice{}
--- a/adapters/caller/http/authorization.go
+++ b/adapters/caller/http/authorization.go
@@ -35,18 +35,25 @@
 	return route.Public
 }
 
-// stillAuthorized reports whether the rules in force still let the request pass: it may have waited while its key was withdrawn. A
-// request whose key has moved to another team goes on as one of that team.
-func (exchange *exchange) stillAuthorized() bool {
+// isClosed reports whether the rules refuse all requests of the route or with the request's key.
+func isClosed(set *rules.Set, route *rules.Route, info *dialect.RequestInfo) bool {
+	return route.Closed || info.Credential.Valid && set.IsClosedKey(info.Credential.Digest)
+}
+
+// denial returns why the rules in force no longer let the request pass, or an empty reason if they do: it may have waited while its key was
+// withdrawn or closed. A request whose key has moved to another team goes on as one of that team.
+func (exchange *exchange) denial() retry.Reason {
 	set, version := exchange.handler.Entry.Rules()
-	if version == exchange.rulesVersion {
-		return true
-	}
-	if !authorize(set, exchange.route, &exchange.info) {
-		return false
+	switch {
+	case version == exchange.rulesVersion:
+		return ""
+	case isClosed(set, exchange.route, &exchange.info):
+		return retry.ReasonClosed
+	case !authorize(set, exchange.route, &exchange.info):
+		return retry.ReasonKeyUnknown
 	}
 	exchange.rulesVersion, exchange.keysRequired = version, set.KeysRequired()
-	return true
+	return ""
 }
 
 // admit takes one request of a team's limit. It refuses the request and returns false if there is none.
--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -297,9 +297,13 @@
 	if exchange.claim != nil && !exchange.now().Before(exchange.writeDeadline) && !exchange.renewClaim(e.grant) {
 		return true
 	}
-	if !exchange.stillAuthorized() {
+	if reason := exchange.denial(); reason != "" {
 		e.grant.Done(pool.Report{Outcome: pool.Unused})
-		return exchange.perform(exchange.request.Denied(retry.ReasonKeyUnknown, time.Time{}))
+		retryAt := time.Time{}
+		if reason == retry.ReasonClosed {
+			retryAt = exchange.now().Add(closedRetryDelay)
+		}
+		return exchange.perform(exchange.request.Denied(reason, retryAt))
 	}
 	if end := exchange.handler.Entry.End(); !exchange.request.CanFinish(exchange.now(), e.grant.AnswerLikelyAfter(), end) {
 		exchange.logTooLate(e.grant, end)
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -300,7 +300,7 @@
 		return false
 	}
 	exchange.request.Granted(grant.Server)
-	if !exchange.stillAuthorized() {
+	if exchange.denial() != "" {
 		grant.Done(pool.Report{Outcome: pool.Unused})
 		return false
 	}
--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -42,6 +42,9 @@
 // noRulesRetryDelay is the Retry-After while no rules are in force; a starting instance has received them by then.
 const noRulesRetryDelay = time.Second
 
+// closedRetryDelay is the Retry-After of a request that the rules refuse without a judgement on the request: their next version may allow it.
+const closedRetryDelay = time.Second
+
 // Sender sends a request to a backend server once, without retries.
 type Sender interface {
 	Send(request *http.Request, options backend.Options, progress *backend.Progress) (*http.Response, error)
@@ -174,6 +177,10 @@
 		handler.refuse(w, r, &info, retry.ReasonBadRequest, time.Time{})
 		return
 	}
+	if isClosed(set, route, &info) {
+		handler.refuse(w, r, &info, retry.ReasonClosed, now.Add(closedRetryDelay))
+		return
+	}
 	if !authorize(set, route, &info) {
 		handler.refuse(w, r, &info, retry.ReasonKeyUnknown, time.Time{})
 		return
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -174,6 +174,9 @@
 	if _, err := rules.Parse(file, text); err != nil {
 		return nil, &Error{Op: "publish", Kind: KindInvalid, Err: err}
 	}
+	if err := checkLineLengths(text); err != nil {
+		return nil, &Error{Op: "publish", Kind: KindInvalid, Err: err}
+	}
 	current, err := Load(ctx, store)
 	if err != nil {
 		return nil, err
@@ -199,6 +202,18 @@
 	return next, nil
 }
 
+// checkLineLengths returns an error for a line that does not fit into a part.
+func checkLineLengths(text string) error {
+	number := 0
+	for line := range strings.Lines(text) {
+		number++
+		if len(line) > maxPartBytes {
+			return fmt.Errorf("line %d has %d bytes, more than %d", number, len(line), maxPartBytes)
+		}
+	}
+	return nil
+}
+
 func conflictError(current *Version, base uint64) *Error {
 	return &Error{Op: "publish", Kind: KindConflict, Current: current, Err: fmt.Errorf(
 		"version %d is in force since %s, changed by %s; the change was made from version %d",
--- a/control/control.go
+++ b/control/control.go
@@ -344,6 +344,10 @@
 		return nil
 	}
 	fmt.Fprintf(control.Out, "%s %s\n", method, path)
+	if route.Closed {
+		fmt.Fprintf(control.Out, "  route %s%s/ (line %d): closed, callers get 503  # %s\n", route.Host, route.Prefix, route.Line, route.RequestedBy)
+		return nil
+	}
 	switch {
 	case route.Public:
 		fmt.Fprintln(control.Out, "  public: passes without a key")
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -52,6 +52,7 @@
 	ReasonKeyUsed      Reason = "idempotency-key-used"
 	ReasonKeyInvalid   Reason = "idempotency-key-invalid"
 	ReasonNoRules      Reason = "no-rules-yet"
+	ReasonClosed       Reason = "rule-closed"
 	ReasonBodyTooLarge Reason = "body-too-large"
 	ReasonStopping     Reason = "instance-stopping"
 	ReasonKeyUnknown   Reason = "key-unknown"
--- a/core/rules/compare.go
+++ b/core/rules/compare.go
@@ -30,7 +30,7 @@
 
 // statement is a rule as it is compared: comments, order of lines and options and white space do not matter.
 type statement struct {
-	options string
+	options string // separated by spaces
 	line    int
 }
 
@@ -63,11 +63,14 @@
 func statements(text string) map[string]statement {
 	out := map[string]statement{}
 	for i, line := range strings.Split(text, "\n") {
-		body, _, _ := strings.Cut(line, "#")
-		words := strings.Fields(body)
-		if len(words) == 0 {
+		parsed, _, _, _, _ := splitLine(line)
+		if len(parsed) == 0 {
 			continue
 		}
+		words := make([]string, len(parsed))
+		for i, w := range parsed {
+			words[i] = w.text
+		}
 		named := min(2, len(words))
 		if words[0] == "callers" {
 			named = 1
@@ -107,8 +110,9 @@
 
 func optionsByKey(options string) map[string]string {
 	out := map[string]string{}
-	for option := range strings.FieldsSeq(options) {
-		key, value, _ := strings.Cut(option, "=")
+	words, _, _, _, _ := splitLine(options)
+	for _, option := range words {
+		key, value, _ := strings.Cut(option.text, "=")
 		out[key] = value
 	}
 	return out
--- a/core/rules/options.go
+++ b/core/rules/options.go
@@ -26,10 +26,13 @@
 	seen := map[string]bool{}
 	for _, w := range words[min(2, len(words)):] {
 		key, value, found := strings.Cut(w.text, "=")
+		if strings.HasPrefix(w.text, `"`) {
+			key, found = w.text, false
+		}
 		parse := parsers[key]
 		switch {
 		case parse == nil:
-			parser.fail(KindSyntax, w.column, fmt.Sprintf("unknown option %q", key), "use one of "+strings.Join(slices.Sorted(maps.Keys(parsers)), ", "))
+			parser.fail(KindSyntax, w.column, fmt.Sprintf("unknown option %q", shorten(key)), "use one of "+strings.Join(slices.Sorted(maps.Keys(parsers)), ", "))
 			ok = false
 		case !found || value == "":
 			parser.fail(KindSyntax, w.column, fmt.Sprintf("option %s has no value", key), "write "+key+"=VALUE")
@@ -46,7 +49,7 @@
 }
 
 func (parser *parser) failInvalid(o option, fix string) bool {
-	parser.fail(KindValue, o.column, fmt.Sprintf("%s=%s is not valid", o.key, o.value), fix)
+	parser.fail(KindValue, o.column, fmt.Sprintf("%s=%s is not valid", o.key, shorten(o.value)), fix)
 	return false
 }
 
@@ -72,7 +75,7 @@
 func (parser *parser) parseRate(o option, out *float64) bool {
 	number, found := strings.CutSuffix(o.value, "/s")
 	n, err := strconv.ParseFloat(number, 64)
-	if !found || err != nil || !(n > 0 && n <= maxLimit) {
+	if !found || err != nil || !(n > 0 && n <= MaxRate) {
 		return parser.failInvalid(o, "write requests per second, such as 200/s")
 	}
 	*out = n
@@ -81,7 +84,7 @@
 
 func (parser *parser) parseBurst(o option, out *float64) bool {
 	n, err := strconv.ParseFloat(o.value, 64)
-	if err != nil || !(n >= 1 && n <= maxLimit) {
+	if err != nil || !(n >= 1 && n <= MaxRate) {
 		return parser.failInvalid(o, "write a number of requests, at least 1")
 	}
 	*out = n
@@ -99,7 +102,7 @@
 
 func (parser *parser) parseDuration(o option, out *time.Duration) bool {
 	d, err := time.ParseDuration(o.value)
-	if err != nil || d < time.Millisecond || d > maxDeadline {
+	if err != nil || d < MinDuration || d > MaxDuration {
 		return parser.failInvalid(o, "write a duration from 1ms to 24h, such as 30s")
 	}
 	*out = d
@@ -169,13 +172,17 @@
 func (parser *parser) parseSplit(o option, out *[]WeightedService) bool {
 	const fix = "write SERVICE:WEIGHT,SERVICE:WEIGHT with whole-number weights, at least one of them above 0"
 	total := 0
-	for part := range strings.SplitSeq(o.value, ",") {
-		service, weight, _ := strings.Cut(part, ":")
-		n, err := strconv.Atoi(weight)
-		if err != nil || n < 0 || n > maxWeight {
+	for _, part := range splitQuoted(o.value, ',') {
+		pair := splitQuoted(part, ':')
+		if len(pair) != 2 {
+			return parser.failInvalid(o, fix)
+		}
+		n, err := strconv.Atoi(pair[1])
+		if err != nil || n < 0 || n > MaxWeight {
 			return parser.failInvalid(o, fix)
 		}
-		if !parser.checkName(word{service, o.column}) {
+		service, valid := parser.parseNameWord(word{pair[0], o.column})
+		if !valid {
 			return false
 		}
 		total += n
@@ -184,6 +191,19 @@
 	return total > 0 || parser.failInvalid(o, fix)
 }
 
+// parseAccess parses who may use a route: callers without a key, or nobody.
+func (parser *parser) parseAccess(o option, route *Route) bool {
+	switch o.value {
+	case "public":
+		route.Public = true
+	case "none":
+		route.Closed = true
+	default:
+		return parser.failInvalid(o, "write access=public for requests without a key or access=none to refuse all requests, or omit the option")
+	}
+	return true
+}
+
 func (parser *parser) parsePriority(o option, out *int) bool {
 	n, err := strconv.Atoi(o.value)
 	if err != nil || n < 0 || n > MaxPriority {
@@ -193,15 +213,28 @@
 	return true
 }
 
+// parseURLPath parses the path of a URL, which may be quoted. A quoted path is used as it is.
 func (parser *parser) parseURLPath(o option, out *string) bool {
-	if cleanPath(o.value) != strings.TrimSuffix(o.value, "/") || !strings.HasPrefix(o.value, "/") {
+	path, quoted, valid := unquote(o.value)
+	if !valid || !strings.HasPrefix(path, "/") || !quoted && !isCleanPrefix(path) {
 		return parser.failInvalid(o, "write a clean path, such as /health")
 	}
-	*out = o.value
+	*out = path
 	return true
 }
 
 func (parser *parser) parseNameOption(o option, out *string) bool {
-	*out = o.value
-	return parser.checkName(word{o.value, o.column})
+	name, valid := parser.parseNameWord(word{o.value, o.column})
+	*out = name
+	return valid
+}
+
+// parseText parses a value of any text, bare or quoted.
+func (parser *parser) parseText(o option, out *string) bool {
+	text, _, valid := unquote(o.value)
+	if !valid {
+		return parser.failInvalid(o, "write text in double quotes")
+	}
+	*out = text
+	return true
 }
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -12,20 +12,24 @@
 
 // Limits of the values in a rules file.
 const (
-	MaxLineBytes   = 4096
-	maxNameBytes   = 64
-	maxSlots       = 10_000
-	maxConnections = 100_000
-	maxAttempts    = 10
-	maxLimit       = 1e7
-	maxDeadline    = 24 * time.Hour
-	maxWeight      = 1_000_000
-	maxHeaderBytes = 1 << 20
-	maxBodyBytes   = 1 << 40
+	maxLineBytes     = 8 << 20 // a rule translated from a document of a megabyte, each byte of it escaped
+	maxBareNameBytes = 64
+	maxSlots         = 10_000
+	maxQuotedBytes   = 80 // of a file's text in an error
 )
 
-// MaxPriority is the least urgent priority.
-const MaxPriority = 100
+// Limits of values that other programs may have to translate into rules.
+const (
+	MaxConnections = math.MaxInt32
+	MaxAttempts    = math.MaxInt32
+	MaxPriority    = math.MaxInt32 // least urgent
+	MaxWeight      = 1_000_000
+	MaxHeaderBytes = 1 << 30
+	MaxBodyBytes   = 1 << 62
+	MaxRate        = 1e7 // requests per second, and of a burst
+	MinDuration    = time.Millisecond
+	MaxDuration    = 24 * time.Hour
+)
 
 // Kind classifies an Error.
 type Kind string
@@ -72,12 +76,6 @@
 	return parser.set, nil
 }
 
-// word is a token of a line and its column.
-type word struct {
-	text   string
-	column int
-}
-
 type parser struct {
 	file string
 	line int
@@ -95,8 +93,11 @@
 	if !parser.checkText(line) {
 		return
 	}
-	body, comment, found := strings.Cut(line, "#")
-	words := splitWords(body)
+	words, comment, found, valid, column := splitLine(line)
+	if !valid {
+		parser.fail(KindSyntax, column, "the quoted text has no end or an invalid escape", `write a quote within it as \" and a backslash as \\`)
+		return
+	}
 	if len(words) == 0 {
 		return
 	}
@@ -114,16 +115,18 @@
 		parser.parseTeam(words, requestedBy)
 	case "key":
 		parser.parseKey(words)
+	case "rejected":
+		parser.parseRejection(words)
 	case "callers":
 		parser.parseCallers(words, requestedBy)
 	default:
-		parser.fail(KindSyntax, words[0].column, fmt.Sprintf("unknown rule %q", words[0].text), "begin the line with service, route, team, key or callers")
+		parser.fail(KindSyntax, words[0].column, fmt.Sprintf("unknown rule %q", shorten(words[0].text)), "begin the line with service, route, team, key or callers")
 	}
 }
 
 func (parser *parser) checkText(line string) bool {
-	if len(line) > MaxLineBytes {
-		parser.fail(KindSyntax, 1, fmt.Sprintf("the line has %d bytes", len(line)), fmt.Sprintf("shorten it to at most %d bytes", MaxLineBytes))
+	if len(line) > maxLineBytes {
+		parser.fail(KindSyntax, 1, fmt.Sprintf("the line has %d bytes", len(line)), fmt.Sprintf("shorten it to at most %d bytes", maxLineBytes))
 		return false
 	}
 	if !utf8.ValidString(line) {
@@ -139,26 +142,6 @@
 
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
-func splitWords(body string) []word {
-	var words []word
-	start, column, startColumn := -1, 0, 0
-	for i, r := range body {
-		column++
-		space := r == ' ' || r == '\t'
-		if !space && start < 0 {
-			start, startColumn = i, column
-		}
-		if space && start >= 0 {
-			words = append(words, word{body[start:i], startColumn})
-			start = -1
-		}
-	}
-	if start >= 0 {
-		words = append(words, word{body[start:], startColumn})
-	}
-	return words
-}
-
 func (parser *parser) parseService(words []word, requestedBy string) {
 	service := &Service{
 		Floor: DefaultFloor, Slots: DefaultSlots, MaxConnections: DefaultMaxConnections,
@@ -169,8 +152,8 @@
 	ok = parser.parseOptions(words, optionParsers{
 		"floor":       func(o option) bool { return parser.parsePercent(o, &service.Floor) },
 		"slots":       func(o option) bool { return parser.parseCount(o, maxSlots, &service.Slots) },
-		"connections": func(o option) bool { return parser.parseCount(o, maxConnections, &service.MaxConnections) },
-		"attempts":    func(o option) bool { return parser.parseCount(o, maxAttempts, &service.MaxAttempts) },
+		"connections": func(o option) bool { return parser.parseCount(o, MaxConnections, &service.MaxConnections) },
+		"attempts":    func(o option) bool { return parser.parseCount(o, MaxAttempts, &service.MaxAttempts) },
 		"ejection":    func(o option) bool { return parser.parseEjection(o, &service.Ejection) },
 		"limit":       func(o option) bool { return parser.parseRate(o, &service.RateLimit) },
 		"stall":       func(o option) bool { return parser.parseDuration(o, &service.StallTimeout) },
@@ -183,7 +166,7 @@
 		return
 	}
 	if previous := parser.set.services[name]; previous != nil {
-		parser.failDuplicate(words[1].column, "service "+name, previous.Line)
+		parser.failDuplicate(words[1].column, "service "+shorten(name), previous.Line)
 		return
 	}
 	parser.set.services[name] = service
@@ -200,13 +183,11 @@
 		},
 		"methods":    func(o option) bool { return parser.parseMethods(o, &route.Methods) },
 		"repeatable": func(o option) bool { return parser.parseIdempotency(o, &route.Idempotency) },
-		"access": func(o option) bool {
-			return parser.parseFlag(o, "public", "write access=public for requests without a key, or omit the option", &route.Public)
-		},
+		"access":     func(o option) bool { return parser.parseAccess(o, route) },
 		"answers": func(o option) bool {
 			return parser.parseFlag(o, "large", "write answers=large for responses of tens of kilobytes or more, or omit the option", &route.Large)
 		},
-		"attempts": func(o option) bool { return parser.parseCount(o, maxAttempts, &route.MaxAttempts) },
+		"attempts": func(o option) bool { return parser.parseCount(o, MaxAttempts, &route.MaxAttempts) },
 		"priority": func(o option) bool { return parser.parsePriority(o, &route.Priority) },
 		"target":   func(o option) bool { return parser.parseDuration(o, &route.TargetLatency) },
 		"deadline": func(o option) bool { return parser.parseDuration(o, &route.Timeout) },
@@ -215,7 +196,10 @@
 		return
 	}
 	switch {
-	case route.Service == "" && len(route.Split) == 0:
+	case route.Closed && (route.Service != "" || len(route.Split) > 0):
+		parser.fail(KindSyntax, words[0].column, "the route has both access=none and a service", "keep one of them")
+		return
+	case route.Service == "" && len(route.Split) == 0 && !route.Closed:
 		parser.fail(KindSyntax, words[0].column, "the route names no service", "add service=NAME")
 		return
 	case route.Service != "" && len(route.Split) > 0:
@@ -224,7 +208,7 @@
 	}
 	for _, previous := range parser.hostRoutesFor(route).routes[route.Prefix] {
 		if overlaps(previous.Methods, route.Methods) {
-			parser.failDuplicate(words[1].column, "route "+words[1].text, previous.Line)
+			parser.failDuplicate(words[1].column, "route "+shorten(words[1].text), previous.Line)
 			return
 		}
 	}
@@ -273,12 +257,16 @@
 	if !ok {
 		return
 	}
+	if !IsHeaderSafe(name) {
+		parser.fail(KindValue, words[1].column, fmt.Sprintf("team %q cannot be named to backend servers in a header", shorten(name)), "remove its control characters and the spaces around it")
+		return
+	}
 	if team.Burst > 0 && team.RateLimit == 0 {
 		parser.fail(KindSyntax, words[0].column, "the team has a burst without a limit", "add limit=RATE/s or remove burst")
 		return
 	}
 	if previous := parser.set.teams[name]; previous != nil {
-		parser.failDuplicate(words[1].column, "team "+name, previous.Line)
+		parser.failDuplicate(words[1].column, "team "+shorten(name), previous.Line)
 		return
 	}
 	parser.set.teams[name] = team
@@ -290,8 +278,8 @@
 	// parseOptions skips the rule's name, but a callers rule has none: insert an empty word in its place.
 	words = slices.Insert(slices.Clone(words), 1, word{})
 	ok := parser.parseOptions(words, optionParsers{
-		"header-bytes": func(o option) bool { return parser.parseCount(o, maxHeaderBytes, &callerLimits.MaxHeaderBytes) },
-		"body-bytes":   func(o option) bool { return parser.parseCount(o, maxBodyBytes, &bodyBytes) },
+		"header-bytes": func(o option) bool { return parser.parseCount(o, MaxHeaderBytes, &callerLimits.MaxHeaderBytes) },
+		"body-bytes":   func(o option) bool { return parser.parseCount(o, MaxBodyBytes, &bodyBytes) },
 		"header-time":  func(o option) bool { return parser.parseDuration(o, &callerLimits.HeaderTimeout) },
 		"idle-time":    func(o option) bool { return parser.parseDuration(o, &callerLimits.IdleTimeout) },
 		"keys": func(o option) bool {
@@ -327,7 +315,7 @@
 			continue
 		}
 		parser.line = route.Line
-		parser.fail(KindReference, 1, fmt.Sprintf("the route names service %q, which no rule declares", service), "declare it with a line service "+service)
+		parser.fail(KindReference, 1, fmt.Sprintf("the route names service %q, which no rule declares", shorten(service)), "declare it with a line service "+shorten(QuoteName(service)))
 	}
 }
 
@@ -343,23 +331,35 @@
 	parser.fail(KindDuplicate, column, fmt.Sprintf("%s is already declared in line %d", rule, line), "keep one of the two lines")
 }
 
+// parseName parses the name after the rule's kind.
 func (parser *parser) parseName(words []word, kind string) (string, bool) {
 	if len(words) < 2 {
 		parser.fail(KindSyntax, words[0].column, "the "+kind+" has no name", "write "+kind+" NAME")
 		return "", false
 	}
-	return words[1].text, parser.checkName(words[1])
+	return parser.parseNameWord(words[1])
 }
 
-func (parser *parser) checkName(w word) bool {
-	valid := len(w.text) > 0 && len(w.text) <= maxNameBytes
-	for _, r := range w.text {
-		valid = valid && (r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-')
+// parseNameWord returns the name that a word gives, bare or quoted.
+func (parser *parser) parseNameWord(w word) (string, bool) {
+	name, quoted, valid := unquote(w.text)
+	if quoted {
+		valid = valid && name != "" && len(name) <= MaxNameBytes
+	} else {
+		valid = isBareName(name)
 	}
 	if !valid {
-		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a name", w.text), fmt.Sprintf("use up to %d lower-case letters, digits and hyphens", maxNameBytes))
+		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a name", shorten(w.text)), fmt.Sprintf("use up to %d lower-case letters, digits and hyphens, or up to %d bytes of text in double quotes", maxBareNameBytes, MaxNameBytes))
 	}
-	return valid
+	return name, valid
+}
+
+// shorten cuts a text that an error quotes.
+func shorten(text string) string {
+	if len(text) <= maxQuotedBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxQuotedBytes], "") + "…"
 }
 
 // parseHostAndPrefix parses a route's optional host and its path prefix.
@@ -369,14 +369,19 @@
 		return false
 	}
 	w := words[1]
-	slash := strings.IndexByte(w.text, '/')
-	host, prefix := w.text[:slash], w.text[slash:]
-	if host != "" && (host != hostName(host) || strings.ContainsAny(host, "[]@?")) {
-		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a host name", host), "write the host name in lower case without a port")
+	text, quoted, valid := unquote(w.text)
+	slash := strings.IndexByte(text, '/')
+	if !valid || slash < 0 {
+		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a path", shorten(w.text)), "write a path, or a host and a path, in double quotes")
+		return false
+	}
+	host, prefix := text[:slash], text[slash:]
+	if host != "" && (host != strings.ToLower(host) || !quoted && !isBareHost(host)) {
+		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a host name", shorten(host)), "write the host name in lower case without a port, or a Host header in lower case and in double quotes")
 		return false
 	}
-	if cleanPath(prefix) != strings.TrimSuffix(prefix, "/") {
-		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a clean path", prefix), "write "+host+cleanPath(prefix))
+	if !isCleanPrefix(prefix) {
+		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a clean path", shorten(prefix)), "write "+shorten(host+cleanPath(prefix)))
 		return false
 	}
 	route.Host, route.Prefix = host, strings.TrimSuffix(prefix, "/")
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -101,7 +101,7 @@
 
 // Route is a route rule with its defaults filled in.
 type Route struct {
-	Host          string            // lower case, without a port; empty for all hosts
+	Host          string            // lower case; without a port for all ports, empty for all hosts
 	Prefix        string            // path prefix on segment boundaries, without a trailing slash
 	SubpathsOnly  bool              // only paths below the prefix, not the prefix itself
 	Methods       []string          // empty for all
@@ -110,6 +110,7 @@
 	Idempotency   Idempotency
 	Large         bool          // responses have tens of kilobytes or more
 	Public        bool          // requests need no key
+	Closed        bool          // all requests are refused; such a route has no service
 	MaxAttempts   int           // attempts per request, 0 for the service's limit
 	Priority      int           // 0 is the most urgent when slots are scarce
 	TargetLatency time.Duration // latency above which a response loses value for callers, 0 if the rule sets none
@@ -145,8 +146,9 @@
 	services     map[string]*Service
 	hosts        map[string]*hostRoutes // by host name; the empty name applies to all hosts
 	teams        map[string]*Team
-	keys         map[Digest]*Team
+	keys         map[Digest]*Team // nil for a closed key
 	callerLimits *CallerLimits
+	rejections   []Rejection
 }
 
 // hostRoutes are the routes of one host by prefix.
@@ -187,14 +189,14 @@
 	return n
 }
 
-// Route returns the route with the longest matching prefix that accepts the method, or nil. Routes of the host take precedence
-// over routes for all hosts.
+// Route returns the route with the longest matching prefix that accepts the method, or nil. Routes of the host and its port take
+// precedence over routes of the host, and these over routes for all hosts.
 //
 // The path is cleaned first, so that a request cannot use dot segments to match the rule of another route.
 func (set *Set) Route(method, host, urlPath string) *Route {
 	cleaned := cleanPath(urlPath)
 	below := strings.HasSuffix(urlPath, "/") || cleaned == ""
-	for _, name := range []string{hostName(host), ""} {
+	for _, name := range []string{strings.ToLower(host), hostName(host), ""} {
 		if routes := set.hosts[name]; routes != nil {
 			if route := routes.longestMatch(method, cleaned, below); route != nil {
 				return route
@@ -266,6 +268,9 @@
 
 // Services returns the names of all services that the route may send requests to.
 func (route *Route) Services() []string {
+	if route.Closed {
+		return nil
+	}
 	if len(route.Split) == 0 {
 		return []string{route.Service}
 	}
@@ -311,6 +316,9 @@
 	return strings.TrimSuffix(p, "/")
 }
 
+// isCleanPrefix reports whether a path has no empty segment and no dot segment, so that requests can match it.
+func isCleanPrefix(prefix string) bool { return cleanPath(prefix) == strings.TrimSuffix(prefix, "/") }
+
 // isClean reports whether an absolute path has no empty segment and no segment that begins with a dot.
 func isClean(p string) bool {
 	if p == "" || p[0] != '/' {
--- a/core/rules/warnings.go
+++ b/core/rules/warnings.go
@@ -103,7 +103,9 @@
 func (linter *linter) lintTeams() {
 	hasKey := map[string]bool{}
 	for _, team := range linter.set.keys {
-		hasKey[team.Name] = true
+		if team != nil {
+			hasKey[team.Name] = true
+		}
 	}
 	total := 0.0 // limit of all services, 0 if one has none
 	for _, service := range linter.set.services {
--- a/dialect/native.go
+++ b/dialect/native.go
@@ -34,6 +34,7 @@
 	retry.ReasonBadRequest:   http.StatusBadRequest,
 	retry.ReasonBodyTooLarge: http.StatusRequestEntityTooLarge,
 	retry.ReasonNoRules:      http.StatusServiceUnavailable,
+	retry.ReasonClosed:       http.StatusServiceUnavailable,
 	retry.ReasonKeyUnknown:   http.StatusUnauthorized,
 	retry.ReasonLimitUnknown: http.StatusServiceUnavailable,
 	retry.ReasonNoFreeSlot:   http.StatusServiceUnavailable,
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -58,6 +58,8 @@
 	Servers instance.Changes[instance.Server]
 	// Rules is a new version of the rules. Between instances it is the version in force at the sender, without its text.
 	Rules RulesVersion
+	// RulesError is why the platform's latest configuration cannot be put in force at all. Between instances it is nil.
+	RulesError error
 	// RulesRevision is the platform's revision up to which Rules is the latest version. The lists may have reached a later one.
 	RulesRevision instance.Revision
 	// LeavingServers are servers that reported that they are leaving and are not yet marked as leaving in the platform's list.
@@ -290,7 +292,10 @@
 		}
 		now := entry.Clock()
 		entry.lists.recordAge(now, entry.Feed.Age(now))
-		if lists.Rules.Number > 0 {
+		switch {
+		case lists.RulesError != nil:
+			entry.rejectRules(lists.RulesError)
+		case lists.Rules.Number > 0:
 			entry.ApplyRules(lists.Rules.Number, lists.Rules.Text)
 		}
 		entry.lists.recordRulesRevision(lists.RulesRevision)
--- a/entry/rules.go
+++ b/entry/rules.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/sequoiaspan/sequoiaspan/core/home"
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
+	"github.com/sequoiaspan/sequoiaspan/logs"
 	"github.com/sequoiaspan/sequoiaspan/wait"
 )
 
@@ -30,8 +33,15 @@
 
 // rulesHolder holds the rules in force. It never reverts to a lower version.
 type rulesHolder struct {
-	current atomic.Pointer[activeRules]
-	wanted  chan Peer
+	current  atomic.Pointer[activeRules]
+	rejected atomic.Pointer[rejectedRules]
+	wanted   chan Peer
+}
+
+// rejectedRules is the latest version of the rules that could not be put in force.
+type rejectedRules struct {
+	inForce uint64 // version in force at that time
+	err     error
 }
 
 var noRules = &activeRules{set: &rules.Set{}}
@@ -64,6 +74,15 @@
 	}
 }
 
+// rejection returns why the latest version is not in force, or nil if a version has been put in force since.
+func (holder *rulesHolder) rejection() error {
+	rejected := holder.rejected.Load()
+	if rejected == nil || holder.load().version > rejected.inForce {
+		return nil
+	}
+	return rejected.err
+}
+
 // requestFrom schedules a pull from a peer that has a newer version. A pending request is kept.
 func (holder *rulesHolder) requestFrom(peer Peer) {
 	select {
@@ -72,12 +91,12 @@
 	}
 }
 
-// ApplyRules activates a version of the rules if it is newer than the current one. It logs and ignores invalid versions.
+// ApplyRules activates a version of the rules if it is newer than the current one. An invalid version is logged and shown in the status, and
+// the current one is kept.
 func (entry *Entry) ApplyRules(version uint64, text string) {
 	applied, err := entry.rules.update(entry.Clock(), version, text)
 	if err != nil {
-		entry.count("rules.invalid")
-		entry.Log.Error("rules: ignored an invalid version; keeping the current one", zap.Uint64("version", version), zap.Error(err))
+		entry.rejectRules(fmt.Errorf("version %d: %w", version, err))
 		return
 	}
 	if !applied {
@@ -86,7 +105,27 @@
 	set, _ := entry.Rules()
 	entry.rebuild(entry.Clock())
 	entry.lists.wake()
-	entry.Log.Info("rules: new version in force", zap.Uint64("version", version), zap.Int("rules", set.Len()))
+	entry.Log.Info("rules: new version in force", zap.Uint64("version", version), zap.Int("rules", set.Len()), zap.Int("rejected", len(set.Rejections())))
+	entry.logRejections(version, set.Rejections())
+}
+
+// maxShownRejections limits the rejections of a version that are logged, and those that the status lists.
+const maxShownRejections = 20
+
+// logRejections logs what the rules do not carry of the configuration that they were translated from.
+func (entry *Entry) logRejections(version uint64, rejections []rules.Rejection) {
+	metrics.GetOrRegisterGauge("rules.rejected", entry.Metrics).Update(int64(len(rejections)))
+	for _, rejection := range rejections[:min(len(rejections), maxShownRejections)] {
+		entry.Log.Error("rules: a value of the configuration is not in force as written", zap.Uint64("version", version), zap.String("file", rejection.File),
+			zap.String("row", rejection.Row), zap.String("field", rejection.Field), zap.String("reason", rejection.Reason))
+	}
+}
+
+// rejectRules records that the latest version of the rules cannot be put in force. The current one is kept.
+func (entry *Entry) rejectRules(err error) {
+	entry.rules.rejected.Store(&rejectedRules{inForce: entry.rules.load().version, err: err})
+	entry.count("rules.invalid")
+	entry.Log.Error("rules: ignored an invalid version; keeping the current one", zap.Uint64("version-in-force", entry.rules.load().version), logs.ShortError(err))
 }
 
 // recordPulledRules records up to which revision of the platform the rules in force are the latest, given lists of another instance. A
--- a/entry/status.go
+++ b/entry/status.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/sequoiaspan/sequoiaspan/core/idempotency"
+	"github.com/sequoiaspan/sequoiaspan/core/rules"
 )
 
 // Status is the state of an instance as shown to operators.
@@ -16,6 +18,7 @@
 	Leaving          bool                    `json:"leaving"`
 	RulesVersion     uint64                  `json:"rules-version"`
 	RulesSince       time.Time               `json:"rules-since"`
+	RulesRejected    int                     `json:"rules-rejected"` // values of the configuration that the rules in force do not carry as written
 	ListAsOf         time.Time               `json:"list-as-of"`
 	Entries          int                     `json:"entry-instances"`
 	Servers          int                     `json:"backend-servers"`
@@ -55,7 +58,7 @@
 	entry.keys.mu.Unlock()
 	status := Status{
 		Instance: entry.Name, Incarnation: string(entry.Incarnation), Domain: entry.Domain, Leaving: entry.IsLeaving(),
-		RulesVersion: current.version, RulesSince: current.since, ListAsOf: asOf, Entries: len(plan.entries), Servers: len(plan.listed),
+		RulesVersion: current.version, RulesSince: current.since, RulesRejected: len(current.set.Rejections()), ListAsOf: asOf, Entries: len(plan.entries), Servers: len(plan.listed),
 		GrantsHeld: entry.held.count(), Keys: ownerStatus, Slices: entry.sliceStatus(now),
 	}
 	for _, other := range plan.entries {
@@ -63,10 +66,31 @@
 			status.UnreachablePeers = append(status.UnreachablePeers, other.Name)
 		}
 	}
-	status.Restrictions = restrictions(status)
+	status.Restrictions = append(restrictions(status), rulesRestrictions(entry.rules.rejection(), current.set.Rejections())...)
 	return status
 }
 
+// maxRestrictionBytes limits the length of a restriction that quotes a configuration.
+const maxRestrictionBytes = 400
+
+// rulesRestrictions describes what of the latest configuration is not in force: all of it if err is not nil, else single values.
+func rulesRestrictions(err error, rejections []rules.Rejection) []string {
+	var out []string
+	if err != nil {
+		out = append(out, "the latest rules are not in force: "+err.Error())
+	}
+	for _, rejection := range rejections[:min(len(rejections), maxShownRejections)] {
+		out = append(out, "not in force as written: "+rejection.String())
+	}
+	if more := len(rejections) - maxShownRejections; more > 0 {
+		out = append(out, fmt.Sprintf("not in force as written: %d more values", more))
+	}
+	for i := range out {
+		out[i] = strings.ReplaceAll(strings.ToValidUTF8(out[i][:min(len(out[i]), maxRestrictionBytes)], ""), "\n", "; ")
+	}
+	return out
+}
+
 // restrictions describes each limitation of the service as a sentence.
 func restrictions(status Status) []string {
 	out := []string{}
