End all grants of a request when it ends, also by a panic

Cause: the attempt is taken off the exchange's list before its answer is written; a panic, from which net/http recovers for the connection, skips the end of its grant, which the instance then renews for good. Change: an exchange lists the grants that it accepted, also those of resumed downloads, and ends what is left when it ends. Grant.Done counts once. Why it works: the end of an exchange is deferred, so it does not depend on how the request ends.

--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -36,6 +36,7 @@
 	bodyDeadline  time.Time          // for the server's last byte of the response's body, zero for none
 	events        chan event
 	out           map[uint64]*attempt // attempts in flight, by id
+	grants        []*entry.Grant      // all that were accepted
 	suspects      []*entry.Grant      // of backend servers that were overdue or unreachable
 	bufferedBytes int64               // of this request's buffered responses
 	info          dialect.RequestInfo // metadata that the caller sent
@@ -146,9 +147,13 @@
 	}
 }
 
-// end cancels background work, releases the memory of buffered bodies and discards queued events.
+// end cancels background work, releases the memory of buffered bodies and discards queued events. It also ends the grants that have not
+// ended: a panic may end the exchange anywhere, and a grant that is held keeps a slot of its server.
 func (exchange *exchange) end() {
 	exchange.cancel()
+	for _, grant := range exchange.grants {
+		grant.Done(pool.Report{Outcome: pool.Canceled})
+	}
 	exchange.handler.bufferedTotal.Add(-exchange.bufferedBytes)
 	exchange.endMu.Lock()
 	exchange.ended = true
@@ -292,6 +297,7 @@
 		exchange.abandon()
 		return true
 	}
+	exchange.grants = append(exchange.grants, e.grant)
 	exchange.request.Granted(e.grant.Server)
 	exchange.logPlaced(e.grant, waited)
 	if exchange.claim != nil && !exchange.now().Before(exchange.writeDeadline) && !exchange.renewClaim(e.grant) {
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -299,6 +299,7 @@
 	if grant == nil {
 		return false
 	}
+	exchange.grants = append(exchange.grants, grant)
 	exchange.request.Granted(grant.Server)
 	if exchange.denial() != "" {
 		grant.Done(pool.Report{Outcome: pool.Unused})
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sequoiaspan/sequoiaspan/core/home"
@@ -11,7 +12,7 @@
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 )
 
-// Grant permits one attempt at a backend server. Done must be called exactly once.
+// Grant permits one attempt at a backend server. It must be ended with Done.
 type Grant struct {
 	pool.Decision
 	Slice home.Slice
@@ -22,6 +23,7 @@
 	suspectAfter time.Duration // also as of earlier homes, while this instance is stopping
 	peer         Peer          // the home or standby that granted, if remote
 	pools        *pools        // the pools that granted, if in this instance
+	ended        atomic.Bool
 }
 
 // SliceFor returns the slice of a service for a request with the given seed.
@@ -280,8 +282,11 @@
 	grant.report(pool.Report{Overdue: true, Reused: reused})
 }
 
-// Done ends the grant and reports the outcome of the attempt.
+// Done ends the grant and reports the outcome of the attempt. Only its first call has an effect.
 func (grant *Grant) Done(report pool.Report) {
+	if grant.ended.Swap(true) {
+		return
+	}
 	grant.entry.held.remove(grant.ask.Attempt)
 	grant.entry.count("backend.attempts{outcome=" + report.Outcome.String() + "}")
 	grant.report(report)
