Select the platform's routes by the path as it was sent

Cause: routes were looked up by the decoded and cleaned path, while the platform's prefixes are written as paths are sent. Change: Dialect.ExactPaths; where it is set, a route is selected by the prefix that begins the sent path (rules.ExactRoute), for pipelined requests too, prefixes with empty and dot segments come in force, and no path is reserved. sequoiaspan's own dialect decodes and cleans as before. Why it works: PROTOCOL.md selects by the longest prefix that begins the path and forwards the path unchanged; both sides now compare the same text.

--- a/adapters/caller/http/http.go
+++ b/adapters/caller/http/http.go
@@ -111,7 +111,7 @@
 	if lane := laneOf(r); lane != nil && !lane.begin(r, handler.isIdempotent(r), isLast) {
 		panic(http.ErrAbortHandler)
 	}
-	if strings.HasPrefix(r.URL.Path, rules.ReservedPrefix) {
+	if !handler.Dialect.ExactPaths() && strings.HasPrefix(r.URL.Path, rules.ReservedPrefix) {
 		handler.serveDirectory(w, r)
 		return
 	}
@@ -137,10 +137,26 @@
 	if version == 0 {
 		return false
 	}
-	route := set.Route(r.Method, r.Host, r.URL.Path)
+	route := handler.route(set, r)
 	return route != nil && route.Idempotent(r.Method)
 }
 
+// route returns the route of a request, or nil.
+func (handler *Handler) route(set *rules.Set, r *http.Request) *rules.Route {
+	if handler.Dialect.ExactPaths() {
+		return set.ExactRoute(r.Method, r.Host, sentPath(r))
+	}
+	return set.Route(r.Method, r.Host, r.URL.Path)
+}
+
+// sentPath returns the path of a request as its caller sent it.
+func sentPath(r *http.Request) string {
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(path, "/") {
+		return path
+	}
+	return r.URL.EscapedPath() // of an absolute URL
+}
+
 func (handler *Handler) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != DirectoryPath {
 		handler.answer(w, r, retry.Answer{ExecutionStatus: retry.NotRun, Reason: retry.ReasonNoRoute})
@@ -164,7 +180,7 @@
 		handler.refuse(w, r, &info, retry.ReasonNoRules, now.Add(noRulesRetryDelay))
 		return
 	}
-	route := set.Route(r.Method, r.Host, r.URL.Path)
+	route := handler.route(set, r)
 	if route == nil {
 		handler.refuse(w, r, &info, retry.ReasonNoRoute, time.Time{})
 		return
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -380,7 +380,7 @@
 		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a host name", shorten(host)), "write the host name in lower case without a port, or a Host header in lower case and in double quotes")
 		return false
 	}
-	if !isCleanPrefix(prefix) {
+	if !quoted && !isCleanPrefix(prefix) {
 		parser.fail(KindValue, w.column, fmt.Sprintf("%q is not a clean path", shorten(prefix)), "write "+shorten(host+cleanPath(prefix)))
 		return false
 	}
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -195,10 +195,23 @@
 // The path is cleaned first, so that a request cannot use dot segments to match the rule of another route.
 func (set *Set) Route(method, host, urlPath string) *Route {
 	cleaned := cleanPath(urlPath)
-	below := strings.HasSuffix(urlPath, "/") || cleaned == ""
+	return set.match(method, host, cleaned, strings.HasSuffix(urlPath, "/") || cleaned == "")
+}
+
+// ExactRoute is Route for an encoded path that is compared as it was sent: it is neither decoded nor cleaned. Prefixes must be as EncodePath
+// returns them.
+func (set *Set) ExactRoute(method, host, encodedPath string) *Route {
+	if !strings.HasPrefix(encodedPath, "/") {
+		encodedPath = "/" + encodedPath
+	}
+	return set.match(method, host, EncodePath(encodedPath), false)
+}
+
+// match returns the route for a path. The parameter below reports whether the path is below itself as a prefix.
+func (set *Set) match(method, host, urlPath string, below bool) *Route {
 	for _, name := range []string{strings.ToLower(host), hostName(host), ""} {
 		if routes := set.hosts[name]; routes != nil {
-			if route := routes.longestMatch(method, cleaned, below); route != nil {
+			if route := routes.longestMatch(method, urlPath, below); route != nil {
 				return route
 			}
 		}
@@ -214,13 +227,13 @@
 	return strings.ToLower(host)
 }
 
-// longestMatch returns the route with the longest prefix of a clean path that accepts the method. The parameter below reports
-// whether the original path ended with a slash.
-func (hostRoutes *hostRoutes) longestMatch(method, cleaned string, below bool) *Route {
-	prefix := hostRoutes.truncate(cleaned)
+// longestMatch returns the route with the longest prefix of a path that accepts the method. The parameter below reports whether the path is
+// below itself as a prefix.
+func (hostRoutes *hostRoutes) longestMatch(method, urlPath string, below bool) *Route {
+	prefix := hostRoutes.truncate(urlPath)
 	for {
 		for _, route := range hostRoutes.routes[prefix] {
-			if route.acceptsMethod(method) && (!route.SubpathsOnly || below || prefix != cleaned) {
+			if route.acceptsMethod(method) && (!route.SubpathsOnly || below || prefix != urlPath) {
 				return route
 			}
 		}
@@ -316,6 +329,28 @@
 	return strings.TrimSuffix(p, "/")
 }
 
+// EncodePath percent-encodes the characters that a URL's path cannot have. Those that are encoded already stay as they are.
+func EncodePath(p string) string {
+	const upperHex = "0123456789ABCDEF"
+	if !strings.ContainsFunc(p, isUnsafeInPath) {
+		return p
+	}
+	out := make([]byte, 0, len(p)+len(p)/2)
+	for i := range len(p) {
+		if c := p[i]; isUnsafeInPath(rune(c)) {
+			out = append(out, '%', upperHex[c>>4], upperHex[c&15])
+		} else {
+			out = append(out, c)
+		}
+	}
+	return string(out)
+}
+
+// isUnsafeInPath reports whether a character cannot stand in a URL's path (RFC 3986, section 3.3). The percent sign is not one.
+func isUnsafeInPath(r rune) bool {
+	return r <= ' ' || r >= 0x7f || strings.ContainsRune("\"#<>?[\\]^`{|}", r)
+}
+
 // isCleanPrefix reports whether a path has no empty segment and no dot segment, so that requests can match it.
 func isCleanPrefix(prefix string) bool { return cleanPath(prefix) == strings.TrimSuffix(prefix, "/") }
 
--- a/core/rules/warnings.go
+++ b/core/rules/warnings.go
@@ -62,6 +62,8 @@
 		linter.warn(KindUnreachable, route.Line, "no request matches: instances answer paths below "+ReservedPrefix+" themselves", "choose another path")
 	case strings.Contains(route.Host, "*"):
 		linter.warn(KindUnreachable, route.Line, fmt.Sprintf("no request matches: host %q is compared literally", route.Host), "write one route for each host, or omit the host")
+	case !isCleanPrefix(route.Prefix):
+		linter.warn(KindUnreachable, route.Line, fmt.Sprintf("no request matches: path %q is compared with paths without empty and dot segments", shorten(route.Prefix)), "remove these segments")
 	case strings.ContainsAny(route.Prefix, "%?"):
 		linter.warn(KindUnreachable, route.Line, fmt.Sprintf("no request matches: path %q is compared with decoded paths without the query", route.Prefix), "write the decoded path without a query")
 	}
--- a/core/rules/words.go
+++ b/core/rules/words.go
@@ -106,7 +106,7 @@
 
 // QuoteRoute returns the host and the prefix of a route as written in a rules file.
 func QuoteRoute(host, prefix string) string {
-	if isBareText(host+prefix) && isBareHost(host) {
+	if isBareText(host+prefix) && isBareHost(host) && isCleanPrefix(prefix) {
 		return host + prefix
 	}
 	return strconv.Quote(host + prefix)
--- a/core/rules/words_test.go
+++ b/core/rules/words_test.go
@@ -72,6 +72,23 @@
 	must.SliceEmpty(t, set.Warnings("rules"))
 }
 
+// TestExactRoutes guards against a path that is taken for one of another route because it is decoded or cleaned (review/8).
+func TestExactRoutes(t *testing.T) {
+	var text strings.Builder
+	for service, prefix := range map[string]string{"root": "/", "encoded": "/dep%C3%B3sitos/", "letters": "/ó b|/", "empty": "/a//b/", "dots": "/a/../b/", "plain": "/a/b/"} {
+		text.WriteString("service " + service + " # asked by: a\nroute " + QuoteRoute("", EncodePath(prefix)) + " match=below service=" + service + " # asked by: a\n")
+	}
+	set, err := Parse("rules", text.String())
+	must.NoError(t, err)
+	for path, service := range map[string]string{
+		"/": "root", "": "root", "*": "root", "/dep%C3%B3sitos/7": "encoded", "/dep%C3%B3sitos/": "encoded", "/dep%C3%B3sitos": "root", "/dep\u00f3sitos/7": "encoded",
+		"/dep%c3%b3sitos/7": "root", "/%C3%B3%20b%7C/1": "letters", "/\u00f3%20b|/1": "letters", "/a//b/c": "empty", "/a//b//c": "empty", "/a/../b/c": "dots",
+		"/x/../a/b/c": "root", "/a/b/c": "plain", "/a/b//": "plain", "/a/b": "root", "/a%2Fb/c": "root", "/a/./b/c": "root", "//a/b/c": "root",
+	} {
+		must.Eq(t, service, set.ExactRoute("GET", "", path).Service, must.Sprint(path))
+	}
+}
+
 // TestHostsWithPorts guards against a route for one port that takes the requests of another.
 func TestHostsWithPorts(t *testing.T) {
 	set, err := Parse("rules", "service a # asked by: a\nservice b # asked by: a\nroute \"gateway.example:8080/\" service=a # asked by: a\nroute gateway.example/ service=b # asked by: a\n")
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -26,6 +26,9 @@
 	// Transparent reports whether the proxy adds no forwarding headers (Via, Forwarded), and replaces refusals of backend servers
 	// by its own answers.
 	Transparent() bool
+	// ExactPaths reports whether routes are matched by paths as callers send them, without decoding or cleaning, and no path is reserved for
+	// sequoiaspan's own answers.
+	ExactPaths() bool
 }
 
 // RequestInfo is the metadata of a caller's request.
--- a/dialect/native.go
+++ b/dialect/native.go
@@ -127,3 +127,6 @@
 
 // Transparent returns false: Via and Forwarded are added.
 func (Native) Transparent() bool { return false }
+
+// ExactPaths returns false: paths are decoded and cleaned before they are matched.
+func (Native) ExactPaths() bool { return false }
