Forward the platform's paths as callers sent them

Cause: the attempt's URL is written from the parsed path, which net/url encodes anew if it does not accept the sent form. Change: where the dialect's paths are exact, such a path is sent as it came. One that begins with two slashes and has such a character is still encoded anew.

--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -59,6 +59,7 @@
 	out := exchange.r.WithContext(ctx)
 	out.Trailer = exchange.r.Trailer.Clone()
 	attemptInfo := exchange.attemptInfo(grant.Server)
+	out.URL = exchange.handler.outgoingURL(exchange.r)
 	out.Header = exchange.handler.outgoingHeader(exchange.r.WithContext(ctx), attemptInfo)
 	out.Body = exchange.body.open()
 	out.ContentLength = exchange.body.length
--- a/adapters/caller/http/headers.go
+++ b/adapters/caller/http/headers.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -28,6 +29,19 @@
 	}
 }
 
+// outgoingURL returns the URL of an attempt. Where paths are exact, the path is the one that the caller sent, also if net/url encodes it in another
+// way.
+func (handler *Handler) outgoingURL(r *http.Request) *url.URL {
+	sent := sentPath(r)
+	if !handler.Dialect.ExactPaths() || sent == r.URL.EscapedPath() || strings.HasPrefix(sent, "//") {
+		// The URL of a path that begins with two slashes cannot be opaque: it would name a host.
+		return r.URL
+	}
+	out := *r.URL
+	out.Opaque = sent
+	return &out
+}
+
 // outgoingHeader returns the header of a request to a backend server.
 func (handler *Handler) outgoingHeader(r *http.Request, attempt dialect.Attempt) http.Header {
 	header := r.Header.Clone()
