Judge the signature of successes before they are passed on

Cause: the platform's dialect judged the echoed id of a response only. A response that resumes a download is judged in the same way, also by its id.

--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -116,10 +116,10 @@
 	a.response, a.firstByte = response, exchange.now().Sub(a.sentAt)
 	exchange.handler.firstBytes.Observe(a.firstByte)
 	exchange.recordResponseInfo(a)
-	if a.responseInfo.Mismatched {
+	if err := foreignError(a.responseInfo); err != nil {
 		_ = response.Body.Close()
 		a.progress.CloseConnection()
-		return exchange.handleFailure(a, errMismatched)
+		return exchange.handleFailure(a, err)
 	}
 	a.suspicion.Stop()
 	if a.responseInfo.Refused || exchange.request.Idempotent && response.StatusCode == http.StatusServiceUnavailable {
@@ -132,6 +132,17 @@
 	return exchange.deliver(a)
 }
 
+// foreignError returns why a response may not be the server's response to the request, or nil.
+func foreignError(responseInfo dialect.ResponseInfo) error {
+	switch {
+	case responseInfo.Mismatched:
+		return errMismatched
+	case responseInfo.Unsigned:
+		return errUnsigned
+	}
+	return nil
+}
+
 // recordResponseInfo parses what the response reports about the attempt and its server, and passes the server's notice
 // to the grant. The notice of a response to another request is ignored.
 func (exchange *exchange) recordResponseInfo(a *attempt) {
--- a/adapters/caller/http/buffer.go
+++ b/adapters/caller/http/buffer.go
@@ -19,7 +19,10 @@
 	maxBufferedTotal = 32 << 20 // bytes of all responses buffered at a time
 )
 
-var errMismatched = errors.New("response belongs to another request")
+var (
+	errMismatched = errors.New("response belongs to another request")
+	errUnsigned   = errors.New("response reports a success without the server's signature")
+)
 
 // bufferedBody is a response body that was read completely before forwarding.
 type bufferedBody struct {
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -310,7 +310,7 @@
 		grant.Done(pool.Report{Outcome: pool.Reset})
 		return false
 	}
-	if !isContinuation(first, a.response, download.offset, etag) {
+	if foreignError(a.responseInfo) != nil || !isContinuation(first, a.response, download.offset, etag) {
 		_ = a.response.Body.Close()
 		a.cancel()
 		grant.Done(pool.Report{Outcome: pool.Canceled})
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -72,6 +72,8 @@
 	Mismatched  bool // the response belongs to another request
 	// Unidentified means that the response does not tell which request it belongs to: on a kept connection it may be an earlier one.
 	Unidentified bool
+	// Unsigned means that the response reports a success without what shows that it is the server's own: callers must not get it.
+	Unsigned bool
 	// PausedUntil is the time until which this instance should send the server no requests, zero for no limit.
 	PausedUntil time.Time
 }
