Decide by an instance's own contact which side of a partition counts a team

Cause: contact with the platform, which decides who counts in full, was also taken from lists that other instances pass on, and an instance that had them did not look whether the others in rank answer. Change: PlatformHeardAt is the platform's latest answer to the instance itself. An instance that stands in, or is first and finds another in rank silent, has its lease renewed at once (at most every 250 ms), so that one on the platform's side knows within milliseconds. Why it works: the store is on one side of a partition only, and what other instances heard of it no longer reaches both.

--- a/core/limit/authority.go
+++ b/core/limit/authority.go
@@ -35,6 +35,9 @@
 	return authority.silences < minSilences || now.Sub(platformHeardAt) < platformSilent
 }
 
+// OthersSilent reports whether an instance next in rank did not answer the latest probe, so that the next one is due.
+func (authority *Authority) OthersSilent() bool { return authority.silences > 0 }
+
 // ObserveFirst records whether the instance that is ranked first has answered.
 func (authority *Authority) ObserveFirst(answered bool) {
 	if answered {
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -46,8 +46,19 @@
 	return plan.candidateChanges, plan.candidatesAt
 }
 
-// PlatformHeardAt returns when the platform was last heard of, directly or through other instances.
+// PlatformHeardAt returns when the platform last answered this instance itself. What other instances heard of it does not tell on which side of a
+// network partition this one is.
 func (entry *Entry) PlatformHeardAt() time.Time {
 	now := entry.Clock()
-	return now.Add(-entry.ListAge(now))
+	if entry.Feed == nil {
+		return now
+	}
+	return now.Add(-entry.Feed.Age(now))
+}
+
+// ConfirmPlatform has this instance call the platform soon, unless it did a moment ago.
+func (entry *Entry) ConfirmPlatform() {
+	if entry.Registrar != nil {
+		entry.Registrar.Confirm()
+	}
 }
--- a/entry/lists.go
+++ b/entry/lists.go
@@ -33,6 +33,8 @@
 type Registrar interface {
 	// Announce keeps the instance registered until the context ends, and then removes it.
 	Announce(ctx context.Context, self instance.Entry)
+	// Confirm has the registration renewed soon, to learn whether the platform still answers this instance.
+	Confirm()
 	// SetListed records whether the current list contains the instance.
 	SetListed(listed bool)
 	// SetGeneration records the generation of the platform's list that other instances have observed. The registrar announces the
--- a/entry/lists_test.go
+++ b/entry/lists_test.go
@@ -439,3 +439,14 @@
 	e.lists.confirmedAt = now.Add(-time.Second)
 	must.Eq(t, zap.Duration("list-age", time.Second), e.LoggedListAge(now))
 }
+
+// TestPlatformIsHeardOfByTheInstanceItself guards against an instance that is cut off from the platform, and takes the lists that it gets from others of its
+// failure domain for contact with the platform: it then counts teams beside an instance on the platform's side (review/7).
+func TestPlatformIsHeardOfByTheInstanceItself(t *testing.T) {
+	e := newTestEntry(listOf(1, 1, 1))
+	now := e.Clock()
+	e.Feed = &testFeed{heard: now.Add(-time.Minute)}
+	e.lists.recordAge(now, 100*time.Millisecond)
+	must.LessEq(t, time.Second, e.ListAge(now))
+	must.GreaterEq(t, 59*time.Second, e.Clock().Sub(e.PlatformHeardAt()))
+}
--- a/quota/counting.go
+++ b/quota/counting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -155,9 +156,12 @@
 	} else {
 		full = c.authority.InPlaceOf(now, heardAt)
 	}
-	if !now.Before(c.probeAt) && (!first || now.Sub(heardAt) > probeAfter) {
-		c.probeAt = now.Add(probeInterval)
-		keeper.start(func() { keeper.probe(context.WithoutCancel(ctx), ranked, team) })
+	if !first || c.authority.OthersSilent() || keeper.mayBeCutOff(now, heardAt, ranked) {
+		keeper.Fleet.ConfirmPlatform()
+		if !now.Before(c.probeAt) {
+			c.probeAt = now.Add(probeInterval)
+			keeper.start(func() { keeper.probe(context.WithoutCancel(ctx), ranked, team) })
+		}
 	}
 	keeper.recordRole(c, now, team, ranked, !first, !full, now.Sub(heardAt))
 	grant := c.counter.Take(now, rate, keeper.Tolerance, !full, want)
@@ -167,6 +171,15 @@
 	return grant
 }
 
+// mayBeCutOff reports whether an instance that is first in rank must find out whether it is on the platform's side of a network partition: another
+// one in rank, which may count in its place, does not answer, or the platform has not for long.
+func (keeper *Keeper) mayBeCutOff(now, heardAt time.Time, ranked []entry.Peer) bool {
+	if now.Sub(heardAt) > probeAfter {
+		return true
+	}
+	return slices.ContainsFunc(ranked, func(other entry.Peer) bool { return other.Name != keeper.Name && !keeper.Link.Reachable(other.Name) })
+}
+
 // recordRole logs a change of the role in which this instance counts a team. Its count from before it was limited is out of date.
 func (keeper *Keeper) recordRole(c *count, now time.Time, team string, ranked []entry.Peer, standsIn, limited bool, platformAge time.Duration) {
 	if c.standsIn == standsIn && c.limited == limited {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -34,11 +34,14 @@
 	paused      []bool // stopped by a signal, with its state
 	listed      []bool // on the platform's list
 	listChanges uint64
-	listedAt    time.Time   // latest change of the list
-	side        []int       // of a network partition
-	heardAt     []time.Time // when each instance last heard of the platform, which is on side 0
-	served      []time.Time // admitted requests
-	owed        int         // requests that the limit allows
+	listedAt    time.Time            // latest change of the list
+	side        []int                // of a network partition
+	cutNear     []bool               // from the platform and from the instances of the other failure domain
+	heardAt     []time.Time          // when the platform, which is on side 0, last answered each instance
+	renewAt     []time.Time          // of each instance's next call to the platform
+	avoided     map[[2]int]time.Time // until when an instance avoids another that did not answer
+	served      []time.Time          // admitted requests
+	owed        int                  // requests that the limit allows
 	refused     int
 
 	byPriority bool
@@ -47,11 +50,12 @@
 }
 
 func newWorld(instances int, rate limit.Limit) *world {
-	w := &world{now: time.Unix(1_800_000_000, 0), limit: rate}
+	w := &world{now: time.Unix(1_800_000_000, 0), limit: rate, avoided: map[[2]int]time.Time{}}
 	for i := range instances {
 		w.keepers = append(w.keepers, nil)
 		w.empty = append(w.empty, false)
 		w.down, w.paused, w.listed, w.side, w.heardAt = append(w.down, false), append(w.paused, false), append(w.listed, true), append(w.side, 0), append(w.heardAt, w.now)
+		w.cutNear, w.renewAt = append(w.cutNear, false), append(w.renewAt, w.now.Add(time.Duration(i)*7*time.Millisecond))
 		w.start(i)
 	}
 	return w
@@ -99,6 +103,33 @@
 
 func (n node) PlatformHeardAt() time.Time { return n.heardAt[n.index] }
 
+// ConfirmPlatform has the next call made after the time that a call takes, but not twice within confirmEvery.
+func (n node) ConfirmPlatform() {
+	if next := n.now.Add(10 * time.Millisecond); n.renewAt[n.index].Sub(next) > 0 && n.renewAt[n.index].Sub(next) < renewEvery-confirmEvery {
+		n.renewAt[n.index] = next
+	}
+}
+
+// Calls of an instance to the platform.
+const (
+	renewEvery   = 1600 * time.Millisecond
+	confirmEvery = 250 * time.Millisecond
+)
+
+// avoidFor is how long an instance avoids another that did not answer.
+const avoidFor = time.Second
+
+// domainOf returns the failure domain of an instance.
+func domainOf(i int) int { return i % 2 }
+
+// answers reports whether two instances reach each other.
+func (w *world) answers(a, b int) bool {
+	if domainOf(a) != domainOf(b) && (w.cutNear[a] || w.cutNear[b]) {
+		return false
+	}
+	return !w.down[b] && !w.paused[b] && w.side[a] == w.side[b]
+}
+
 func (n node) Counters(_ string, count int) ([]entry.Peer, int) {
 	var ranked []entry.Peer
 	live := 0
@@ -119,14 +150,25 @@
 
 func (n node) peer(to string) (*Keeper, error) {
 	for i, keeper := range n.keepers {
-		if name(i) == to && !n.down[i] && !n.paused[i] && n.side[i] == n.side[n.index] {
+		if name(i) != to {
+			continue
+		}
+		if n.answers(n.index, i) {
 			return keeper, nil
 		}
+		n.avoided[[2]int{n.index, i}] = n.now.Add(avoidFor)
 	}
 	return nil, errSilent
 }
 
-func (n node) Reachable(string) bool { return true }
+func (n node) Reachable(to string) bool {
+	for i := range n.keepers {
+		if name(i) == to {
+			return !n.now.Before(n.avoided[[2]int{n.index, i}])
+		}
+	}
+	return false
+}
 
 func (n node) TakeTokens(ctx context.Context, to entry.Peer, team string, want limit.Want) (limit.Grant, error) {
 	peer, err := n.peer(to.Name)
@@ -190,8 +232,12 @@
 			run()
 		}
 		for i := range w.keepers {
-			if w.side[i] == 0 && !w.down[i] && !w.paused[i] {
-				w.heardAt[i] = w.now.Add(-500 * time.Millisecond)
+			if w.down[i] || w.paused[i] || w.now.Before(w.renewAt[i]) {
+				continue
+			}
+			w.renewAt[i] = w.now.Add(renewEvery)
+			if w.side[i] == 0 && !w.cutNear[i] {
+				w.heardAt[i] = w.now
 			}
 		}
 		if at%probeInterval == 0 {
@@ -404,3 +450,37 @@
 		must.Greater(t, 0, refused)
 	}
 }
+
+// TestHoldsTheLimitWhileOneInstanceIsCutOffNear presses several times the limit while single instances are cut off from the platform and from the other
+// failure domain, but not from their own, which the platform's lists reach. It guards against two instances that count a team in full (review/7).
+func TestHoldsTheLimitWhileOneInstanceIsCutOffNear(t *testing.T) {
+	worst, served, owed := 0.0, 0, 0
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		rate := limit.Limit{Rate: 5 + 195*random.Float64()}
+		rate.Burst = rate.Rate * random.Float64()
+		w := newWorld(4+random.IntN(40), rate)
+		w.byPriority = seed%2 == 0
+		for _, keeper := range w.keepers {
+			keeper.StrictTakeover = seed%4 < 2
+		}
+		cut := random.IntN(3)
+		cutAt, cutFor := 3*time.Second+time.Duration(random.IntN(400))*step, 2*time.Second+time.Duration(random.IntN(1200))*step
+		w.play(random, 16*time.Second, func(time.Duration) float64 { return 4 * rate.Rate }, func(at time.Duration) {
+			switch at {
+			case cutAt, cutAt + cutFor:
+				w.cutNear[cut] = !w.cutNear[cut]
+			}
+			w.list(cut, at < cutAt+5*time.Second || !w.cutNear[cut])
+		})
+		most, end := w.busiestWindow()
+		share := float64(most) / w.bound()
+		worst = max(worst, share)
+		served, owed = served+len(w.served), owed+w.owed
+		if share > 1 {
+			t.Errorf("seed %d: %d requests in the window until %v, %.2f of the bound; limit %.0f, burst %.0f, instance %d of %d cut off at %v for %v",
+				seed, most, end.Sub(w.began), share, rate.Rate, rate.Burst, cut, len(w.keepers), cutAt, cutFor)
+		}
+	}
+	t.Logf("most requests in a window: %.2f of the bound; %.3f of the requests within the limit are served", worst, float64(served)/float64(owed))
+}
--- a/registry/announcer.go
+++ b/registry/announcer.go
@@ -18,6 +18,7 @@
 	leaseTTL        = 5 * time.Second         // an instance that does not renew its lease leaves the list after it
 	renewInterval   = 1600 * time.Millisecond // three renewals may fail before the lease ends
 	retryInterval   = time.Second             // after a failed call
+	confirmInterval = 250 * time.Millisecond  // between renewals on demand
 	callTimeout     = time.Second
 	maxListingDelay = 2 * time.Second // until an announcement is on the lists
 	// reannounceWindow is the time over which the instances spread their announcements after the store was restored. Missing records
@@ -32,12 +33,25 @@
 	Key     string
 	Log     *zap.Logger
 	Clock   func() time.Time
-	Delays  wait.Delays // nil for none
+	Delays  wait.Delays   // nil for none
+	Wanted  chan struct{} // requests of Confirm, with room for one; nil for none
 
 	lease      uint64 // 0 for none
 	generation uint64 // of the store that granted the lease
 	announced  time.Time
 	unlisted   atomic.Bool // the record is not on the list
+	triedAt    atomic.Pointer[time.Time]
+}
+
+// Confirm has the lease renewed now instead of at the end of the interval, unless a renewal was tried a moment ago.
+func (announcer *Announcer) Confirm() {
+	if tried := announcer.triedAt.Load(); tried != nil && announcer.Clock().Sub(*tried) < confirmInterval {
+		return
+	}
+	select {
+	case announcer.Wanted <- struct{}{}:
+	default:
+	}
 }
 
 // SetListed receives whether the record is on the list. A record that is not listed is announced again. Renewals do not detect this: a
@@ -47,7 +61,8 @@
 // Run keeps the value announced until the context ends, and then withdraws it.
 func (announcer *Announcer) Run(ctx context.Context, value []byte) {
 	for ctx.Err() == nil {
-		delay := renewInterval
+		delay, now := renewInterval, announcer.Clock()
+		announcer.triedAt.Store(&now)
 		if err := announcer.renewOrAnnounce(ctx, value); err != nil {
 			announcer.Log.Debug("store: announcing this instance failed", zap.Error(err))
 			delay = retryInterval
@@ -70,6 +85,7 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-announcer.Wanted:
 	case <-restored:
 		wait.For(ctx, reannounceDelay)
 	}
--- a/registry/generation_test.go
+++ b/registry/generation_test.go
@@ -117,3 +117,29 @@
 		running.Wait()
 	})
 }
+
+// TestConfirmRenewsAtOnce checks that a renewal on demand does not wait for the interval, and that there is at most one in confirmInterval.
+func TestConfirmRenewsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		announcer := &Announcer{Store: &scriptedStore{}, Monitor: newMonitor(), Key: "entry", Log: zap.NewNop(), Clock: time.Now, Wanted: make(chan struct{}, 1)}
+		announcer.Confirm()
+		running.Go(func() { announcer.Run(ctx, []byte("value")) })
+		time.Sleep(renewInterval / 2)
+		must.Eq(t, renewInterval/2, announcer.Monitor.Age(time.Now()))
+		announcer.Confirm()
+		synctest.Wait()
+		must.Eq(t, 0, announcer.Monitor.Age(time.Now()))
+		calls := map[time.Duration]bool{}
+		for range 100 {
+			time.Sleep(10 * time.Millisecond)
+			announcer.Confirm()
+			synctest.Wait()
+			calls[announcer.Monitor.Age(time.Now())] = true
+		}
+		must.Eq(t, int(confirmInterval/(10*time.Millisecond)), len(calls), must.Sprint("ages of the latest answered call"))
+		cancel()
+		running.Wait()
+	})
+}
