--- a/core/rules/words_test.go
+++ b/core/rules/words_test.go
@@ -56,7 +56,7 @@
 }
 
 func TestClosedRulesAndRejections(t *testing.T) {
-	rejection := Rejection{File: "op/config", Row: "routes 3, \"r\"", Field: "service", Reason: "no\nservice"}
+	rejection := Rejection{File: "document", Row: "routes 3, \"r\"", Field: "service", Reason: "no\nservice"}
 	set, err := Parse("rules", "team agencies # asked by: a\nroute /a access=none # asked by: a\nroute gateway.example/b access=none # asked by: a\n"+
 		"key "+DigestKey("k1").String()+" "+DigestKey("k2").String()+" team=agencies # asked by: a\nkey "+DigestKey("k3").String()+" access=none # asked by: a\n"+
 		rejection.Rule()+" # asked by: a\n")
