--- a/adapters/caller/http/exchange.go
+++ b/adapters/caller/http/exchange.go
@@ -65,8 +65,12 @@
 	askedAt  time.Time     // time of the decision's ask
 }
 
-// eventBufferSize is large enough for the events of all attempts, so that post never blocks.
-const eventBufferSize = 64
+// maxAttempts limits the attempts of a request, whatever the rules allow. eventBufferSize is large enough for the events of so many, so that
+// post never blocks.
+const (
+	maxAttempts     = 10
+	eventBufferSize = 64
+)
 
 func newExchange(handler *Handler, w http.ResponseWriter, r *http.Request, route *rules.Route, service *rules.Service, info dialect.RequestInfo, body *body) *exchange {
 	ctx, cancel := context.WithCancel(r.Context())
@@ -79,6 +83,7 @@
 	if route.MaxAttempts > 0 {
 		exchange.request.MaxAttempts = route.MaxAttempts
 	}
+	exchange.request.MaxAttempts = min(exchange.request.MaxAttempts, maxAttempts)
 	exchange.slice = handler.Entry.SliceFor(service.Name, exchange.fingerprint)
 	if key := info.IdempotencyKey; key != "" && !exchange.request.Idempotent {
 		exchange.claim = &idempotency.Claim{
