End unsafe requests as not known where a server's refusal is not confirmed

Cause: a response was judged by Not-Executed only to repeat it elsewhere, not before its status was passed on. Change: a 408, 429 or 503 for an unsafe request without that statement is a failed attempt and ends with 502 as not known, like a status that is no status of HTTP. Why it works: RULES.md and PROTOCOL.md let callers take these statuses for a promise, and only Not-Executed or a 421 for its ground.

--- a/adapters/caller/http/attempt.go
+++ b/adapters/caller/http/attempt.go
@@ -116,7 +116,11 @@
 	a.response, a.firstByte = response, exchange.now().Sub(a.sentAt)
 	exchange.handler.firstBytes.Observe(a.firstByte)
 	exchange.recordResponseInfo(a)
-	if err := foreignError(a.responseInfo); err != nil {
+	err := foreignError(a.responseInfo)
+	if err == nil && a.responseInfo.Unconfirmed && !exchange.request.Idempotent {
+		err = errPromise
+	}
+	if err != nil {
 		_ = response.Body.Close()
 		a.progress.CloseConnection()
 		return exchange.handleFailure(a, err)
--- a/adapters/caller/http/buffer.go
+++ b/adapters/caller/http/buffer.go
@@ -22,6 +22,7 @@
 var (
 	errMismatched = errors.New("response belongs to another request")
 	errUnsigned   = errors.New("response reports a success without the server's signature")
+	errPromise    = errors.New("response promises that the request was not run, which the server does not state")
 )
 
 // bufferedBody is a response body that was read completely before forwarding.
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -74,6 +74,9 @@
 	Unidentified bool
 	// Unsigned means that the response reports a success without what shows that it is the server's own: callers must not get it.
 	Unsigned bool
+	// Unconfirmed means that the response's status promises callers that the request was not and will not be run, and that the server does not
+	// say so: callers of non-idempotent requests must not get it.
+	Unconfirmed bool
 	// PausedUntil is the time until which this instance should send the server no requests, zero for no limit.
 	PausedUntil time.Time
 }
