Wait for the end of a test's connections before its memory is judged

Change: the two tests that ask for zero bytes after Shutdown wait until each connection has been reported closed. The check is the same.

--- a/adapters/caller/http/heads_test.go
+++ b/adapters/caller/http/heads_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/rcrowley/go-metrics"
@@ -91,6 +92,7 @@
 	served := make(chan string, 10)
 	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { served <- r.URL.Path })}
 	limited := port.Serve(server, listener)
+	awaitClosed := reportedClosed(server)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -134,6 +136,7 @@
 	_, _ = io.Copy(io.Discard, held)
 	must.NoError(t, server.Shutdown(t.Context()))
 	<-done
+	awaitClosed()
 	must.Zero(t, used())
 	close(served)
 	var paths []string
@@ -143,6 +146,23 @@
 	must.Eq(t, []string{"/first", "/ordinary", "/ordinary", "/ordinary", "/large"}, paths)
 }
 
+// reportedClosed returns a function that waits until the server has reported all its connections closed. Shutdown may return before: net/http forgets
+// a connection before it calls ConnState.
+func reportedClosed(server *http.Server) (wait func()) {
+	var open sync.WaitGroup
+	track := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			open.Add(1)
+		}
+		track(conn, state)
+		if state == http.StateClosed {
+			open.Done()
+		}
+	}
+	return open.Wait
+}
+
 // TestRequestWhoseTrailersFindNoRoomIsNotRun guards against a request that is rejected for want of memory after it has been read, and runs or gets
 // no answer all the same.
 func TestRequestWhoseTrailersFindNoRoomIsNotRun(t *testing.T) {
@@ -156,6 +176,7 @@
 	must.NoError(t, err)
 	server := &http.Server{Handler: handler, ConnState: connections.Track, ConnContext: connections.Context}
 	limited := connections.Listen(listener)
+	awaitClosed := reportedClosed(server)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -181,5 +202,6 @@
 	must.NoError(t, rejected.Close())
 	must.NoError(t, server.Shutdown(t.Context()))
 	<-done
+	awaitClosed()
 	must.Zero(t, used())
 }
