Have the first in rank look for the others after 0.8 s without news of the platform

Cause: put off that look to 2 s, as an instance that does not watch the store calls it every 1.6 s only; one that is cut off from everything sees so later than before, unless it has just called another one in rank. Change: the look begins after 0.8 s without any news of the platform, as before, or as soon as another one in rank does not answer. Full counting still needs the platform's answer to the instance itself. Result: the tests of quota, entry and registry pass.

--- a/entry/counters.go
+++ b/entry/counters.go
@@ -56,6 +56,12 @@
 	return now.Add(-entry.Feed.Age(now))
 }
 
+// PlatformReportedAt returns when the platform was last heard of, directly or through other instances.
+func (entry *Entry) PlatformReportedAt() time.Time {
+	now := entry.Clock()
+	return now.Add(-entry.ListAge(now))
+}
+
 // ConfirmPlatform has this instance call the platform soon, unless it did a moment ago.
 func (entry *Entry) ConfirmPlatform() {
 	if entry.Registrar != nil {
--- a/quota/counting.go
+++ b/quota/counting.go
@@ -156,12 +156,13 @@
 	} else {
 		full = c.authority.InPlaceOf(now, heardAt)
 	}
-	if !first || c.authority.OthersSilent() || keeper.mayBeCutOff(now, heardAt, ranked) {
+	mayBeCutOff := !first || c.authority.OthersSilent() || keeper.mayBeCutOff(now, heardAt, ranked)
+	if mayBeCutOff {
 		keeper.Fleet.ConfirmPlatform()
-		if !now.Before(c.probeAt) {
-			c.probeAt = now.Add(probeInterval)
-			keeper.start(func() { keeper.probe(context.WithoutCancel(ctx), ranked, team) })
-		}
+	}
+	if (mayBeCutOff || now.Sub(keeper.Fleet.PlatformReportedAt()) > probeAfter) && !now.Before(c.probeAt) {
+		c.probeAt = now.Add(probeInterval)
+		keeper.start(func() { keeper.probe(context.WithoutCancel(ctx), ranked, team) })
 	}
 	keeper.recordRole(c, now, team, ranked, !first, !full, now.Sub(heardAt))
 	grant := c.counter.Take(now, rate, keeper.Tolerance, !full, want)
@@ -174,7 +175,7 @@
 // mayBeCutOff reports whether an instance that is first in rank must find out whether it is on the platform's side of a network partition: another
 // one in rank, which may count in its place, does not answer, or the platform has not for long.
 func (keeper *Keeper) mayBeCutOff(now, heardAt time.Time, ranked []entry.Peer) bool {
-	if now.Sub(heardAt) > probeAfter {
+	if now.Sub(heardAt) > confirmAfter {
 		return true
 	}
 	return slices.ContainsFunc(ranked, func(other entry.Peer) bool { return other.Name != keeper.Name && !keeper.Link.Reachable(other.Name) })
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -32,6 +32,8 @@
 	CountersChanged() (changes uint64, at time.Time)
 	// PlatformHeardAt returns when the platform last answered this instance itself.
 	PlatformHeardAt() time.Time
+	// PlatformReportedAt returns when the platform was last heard of, directly or through other instances.
+	PlatformReportedAt() time.Time
 	// ConfirmPlatform has this instance call the platform soon.
 	ConfirmPlatform()
 }
@@ -66,7 +68,8 @@
 	maxCounters      = 4                      // instances that are asked, one after the other, while the ones before are silent
 	maxSilentAsked   = 2                      // of these, those that are asked although they did not answer a moment ago
 	probeInterval    = 100 * time.Millisecond // between probes of the other instances that count a team
-	probeAfter       = 2 * time.Second        // without contact with the platform after which the first in rank probes the others, in any case
+	probeAfter       = 800 * time.Millisecond // without any news of the platform after which the first in rank probes the others
+	confirmAfter     = 2 * time.Second        // without an answer of the platform after which the first in rank asks for one
 	countsInterval   = 500 * time.Millisecond // between messages with the counts of teams near their limit
 	unknownRetryTime = 100 * time.Millisecond // for callers that no counter could decide on
 	pausedAfter      = 2 * countsInterval     // without activity after which the process was paused
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -103,6 +103,14 @@
 
 func (n node) PlatformHeardAt() time.Time { return n.heardAt[n.index] }
 
+// PlatformReportedAt is half a second ago where lists still come from another instance.
+func (n node) PlatformReportedAt() time.Time {
+	if n.side[n.index] != 0 {
+		return n.heardAt[n.index]
+	}
+	return n.now.Add(-500 * time.Millisecond)
+}
+
 // ConfirmPlatform has the next call made after the time that a call takes, but not twice within confirmEvery.
 func (n node) ConfirmPlatform() {
 	if next := n.now.Add(10 * time.Millisecond); n.renewAt[n.index].Sub(next) > 0 && n.renewAt[n.index].Sub(next) < renewEvery-confirmEvery {
