Tell the end of an answer without a length from a reset

What callers saw: a part of an answer without a length as a complete one, after its server had reset the connection during a long upload. Cause: the system reports the loss of a connection once, to the call that asks first. If the write of the request gets it, the read of the answer gets an end of file. Change: adapters/answer/http has a transport whose connections remember the error of a write; an end of file after one is the loss. All clients of servers and of the store use it. Whole answers without a length are served as before.

--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	answers "github.com/sequoiaspan/sequoiaspan/adapters/answer/http"
 	"github.com/sequoiaspan/sequoiaspan/core/pool"
 	"github.com/sequoiaspan/sequoiaspan/dialect"
 	"github.com/sequoiaspan/sequoiaspan/entry"
@@ -91,8 +92,8 @@
 	Delays  wait.Delays     // nil for none
 
 	once   sync.Once
-	pooled *http.Transport // keeps idle connections
-	fresh  *http.Transport // uses a new connection per request
+	pooled *answers.Transport // keeps idle connections
+	fresh  *answers.Transport // uses a new connection per request
 }
 
 func (backend *Backend) init() {
@@ -104,15 +105,15 @@
 	backend.fresh.DisableKeepAlives = true
 }
 
-func newTransport(delays wait.Delays) *http.Transport {
+func newTransport(delays wait.Delays) *answers.Transport {
 	dialer := &dialer{delays: delays, Dialer: net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}}
-	return &http.Transport{
+	return &answers.Transport{Transport: http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		IdleConnTimeout: pool.IdleTimeout, MaxIdleConnsPerHost: maxIdlePerServer,
 		MaxResponseHeaderBytes: maxHeaderBytes, ExpectContinueTimeout: expectContinueTimeout,
-	}
+	}}
 }
 
 // Send sends the request and returns the response once its header is complete.
--- a/adapters/instances/http/http.go
+++ b/adapters/instances/http/http.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	answers "github.com/sequoiaspan/sequoiaspan/adapters/answer/http"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/entry"
 	"github.com/sequoiaspan/sequoiaspan/logs"
@@ -91,7 +92,7 @@
 	if last.Version != "" {
 		request.Header.Set("If-None-Match", last.Version)
 	}
-	response, err := client.HTTPClient.Do(request)
+	response, err := answers.Do(&client.HTTPClient, request)
 	if err != nil {
 		return instance.List{}, &entry.Error{Op: "list", Kind: entry.KindUnavailable, Err: err}
 	}
--- a/adapters/store/http/http.go
+++ b/adapters/store/http/http.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"time"
 
+	answers "github.com/sequoiaspan/sequoiaspan/adapters/answer/http"
 	"github.com/sequoiaspan/sequoiaspan/entry"
 	"github.com/sequoiaspan/sequoiaspan/wait"
 )
@@ -157,7 +158,7 @@
 	}
 	// Without GetBody the transport cannot retry a write on its own.
 	request.GetBody = nil
-	response, err := store.Client.Do(request)
+	response, err := answers.Do(&store.Client, request)
 	if err != nil {
 		return nil, &entry.Error{Op: op, Kind: entry.KindUnavailable, Err: err}
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -20,6 +20,7 @@
 
 	"github.com/rogpeppe/go-internal/diff"
 
+	answers "github.com/sequoiaspan/sequoiaspan/adapters/answer/http"
 	"github.com/sequoiaspan/sequoiaspan/configuration"
 	"github.com/sequoiaspan/sequoiaspan/core/instance"
 	"github.com/sequoiaspan/sequoiaspan/core/rules"
@@ -319,7 +320,7 @@
 	if err != nil {
 		return status, err
 	}
-	response, err := control.Client.Do(request)
+	response, err := answers.Do(&control.Client, request)
 	if err != nil {
 		return status, err
 	}
