Read answers in JSON to their end

Cause: json.Decoder.Decode stops at the end of the value. Change: DecodeJSON reads on to the end of the body, which must be one value. Evidence: TestDecodeJSONReadsToTheEnd; with the decoder before, the two answers with an invalid trailer were accepted by the list and the status.

--- a/adapters/instances/http/http.go
+++ b/adapters/instances/http/http.go
@@ -120,7 +120,7 @@
 		return instance.List{}, &entry.Error{Op: "list", Kind: entry.KindUnavailable, Err: fmt.Errorf("unexpected instance list status %s", response.Status)}
 	}
 	document := readDocument{}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&document); err != nil {
+	if err := answers.DecodeJSON(io.LimitReader(response.Body, maxListBytes), &document); err != nil {
 		return instance.List{}, &entry.Error{Op: "list", Kind: entry.KindInvalid, Err: err}
 	}
 	return instance.List{
--- a/control/control.go
+++ b/control/control.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -325,7 +324,7 @@
 		return status, err
 	}
 	defer response.Body.Close()
-	return status, json.NewDecoder(response.Body).Decode(&status)
+	return status, answers.DecodeJSON(response.Body, &status)
 }
 
 // Explain prints the rules that apply to a request and who requested them.
