Judge the heads and trailers of answers before they are used

What callers saw: answers in whose head a name held a blank, with that line passed on, or with the sizes of the chunks in the body. Cause: net/http's transport takes heads that HTTP does not allow, and reads some otherwise than their server meant; nothing judged what it returned. Change: core/answer judges the bytes of each head, interim ones too, before net/http gets them, and compares the framing with how it was read; trailers are judged at the end of the body. The verdict is a failed attempt that was written, whose connection is closed. Statuses are judged there too. The store, the list and the operators' command read by the same transport.

--- a/adapters/answer/http/conn.go
+++ b/adapters/answer/http/conn.go
@@ -9,17 +9,40 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/sequoiaspan/sequoiaspan/core/answer"
 )
 
-// conn is a connection to a server. It tells whether the server ended what it sent.
+// conn is a connection to a server. It judges the heads that it reads, and tells whether the server ended what it sent.
 type conn struct {
 	net.Conn
 
+	mu      sync.Mutex
+	scanner *answer.Scanner // of the latest request, nil before the first; mu guards what it points to
+
 	writing sync.Mutex // held during a write
 	lost    error      // of a write, if it tells that the connection was lost
 }
 
-// Read reads from the connection. It returns io.EOF only if the server has ended it.
+// expect records that the next bytes are the answer to a request. It returns the scanner that judges them.
+func (conn *conn) expect() *answer.Scanner {
+	scanner := &answer.Scanner{}
+	scanner.Expect()
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.scanner = scanner
+	return scanner
+}
+
+// framing returns the framing of the answer that a scanner judges. It returns false if its final head has not been read.
+func (conn *conn) framing(scanner *answer.Scanner) (answer.Framing, bool) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return scanner.Framing()
+}
+
+// Read reads from the connection. It fails, without bytes, if the head of an answer breaks a rule of HTTP, and returns io.EOF only if the server has
+// ended the connection.
 func (conn *conn) Read(p []byte) (int, error) {
 	n, err := conn.Conn.Read(p)
 	if err == io.EOF {
@@ -27,6 +50,13 @@
 			return 0, lost
 		}
 	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.scanner != nil {
+		if headErr := conn.scanner.Read(p[:n]); headErr != nil {
+			return 0, headErr
+		}
+	}
 	return n, err
 }
 
--- a/adapters/backend/http/http.go
+++ b/adapters/backend/http/http.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -140,26 +138,10 @@
 		cancel(err)
 		return nil, err
 	}
-	if !isFinalStatus(response.StatusCode) {
-		progress.CloseConnection()
-		_ = response.Body.Close()
-		err := fmt.Errorf("%w: %d", errInvalidStatus, response.StatusCode)
-		cancel(err)
-		return nil, err
-	}
 	response.Body = &body{ReadCloser: response.Body, cancel: cancel}
 	return response, nil
 }
 
-var errInvalidStatus = errors.New("response has a status that HTTP does not define for a final response")
-
-// isFinalStatus reports whether a status may end a request (RFC 9110, section 15). The transport returns any number of three characters; it
-// handles the interim statuses itself but for 101, which is invalid here as no request asks for another protocol.
-func isFinalStatus(status int) bool { return status >= http.StatusOK && status < endOfStatuses }
-
-// endOfStatuses is the first number after the statuses of HTTP.
-const endOfStatuses = 600
-
 // body is a response body that releases the attempt's context on Close.
 type body struct {
 	io.ReadCloser
--- a/adapters/backend/http/unsized_test.go
+++ b/adapters/backend/http/unsized_test.go
@@ -13,25 +13,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-)
 
-// serveRaw has a function answer each connection of a server, which closes the connection itself. It returns the server's address.
-func serveRaw(t *testing.T, answer func(conn *net.TCPConn)) netip.AddrPort {
-	t.Helper()
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.AcceptTCP()
-			if err != nil {
-				return
-			}
-			go answer(conn)
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
+	"github.com/sequoiaspan/sequoiaspan/testing/raw"
+)
 
 // upload sends a request with a body and returns what it reads of the answer's body.
 func upload(t *testing.T, to netip.AddrPort, body io.Reader) ([]byte, error) {
@@ -58,7 +42,7 @@
 				for _, drains := range []bool{false, true} {
 					name := fmt.Sprintf("upload of %d bytes, %d bytes answered, reset after %s, drains=%t", uploadBytes, sentBytes, pause, drains)
 					t.Run(name, func(t *testing.T) {
-						address := serveRaw(t, func(conn *net.TCPConn) {
+						address := raw.Serve(t, func(conn *net.TCPConn) {
 							_, _ = conn.Read(make([]byte, 4<<10)) // the head and some of the body
 							if drains {
 								go func() { _, _ = io.Copy(io.Discard, conn) }()
@@ -113,7 +97,7 @@
 		} {
 			t.Run(strings.TrimSpace(head)+", "+name, func(t *testing.T) {
 				t.Parallel()
-				address := serveRaw(t, func(conn *net.TCPConn) {
+				address := raw.Serve(t, func(conn *net.TCPConn) {
 					request, err := http.ReadRequest(bufio.NewReader(conn))
 					if err != nil {
 						return
--- a/adapters/instances/http/http_test.go
+++ b/adapters/instances/http/http_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/sequoiaspan/sequoiaspan/testing/raw"
 )
 
 // TestOddRowsDoNotStopTheList has the list contain rows of another writer beside sound ones.
@@ -32,3 +34,16 @@
 		must.SliceEmpty(t, list.Entries)
 	}
 }
+
+// TestInvalidAnswersAreNoList guards against a list whose answer HTTP does not allow.
+func TestInvalidAnswersAreNoList(t *testing.T) {
+	const list = `{"as-of":"2027-01-15T08:00:00Z","entry-instances":[],"backend-servers":[]}`
+	for name, text := range raw.InvalidAnswers("", list) {
+		client := Client{Address: raw.Answer(t, text)}
+		_, err := client.List(t.Context())
+		must.Error(t, err, must.Sprint(name))
+	}
+	client := Client{Address: raw.Answer(t, "HTTP/1.0 200 OK\r\n\r\n"+list)}
+	_, err := client.List(t.Context())
+	must.NoError(t, err)
+}
--- a/adapters/peer/yamux/rules_test.go
+++ b/adapters/peer/yamux/rules_test.go
@@ -38,4 +38,8 @@
 	must.Eq(t, text.String(), inflated)
 	_, err = inflateRules([]byte("no deflated text"))
 	must.Error(t, err)
+	for end := 0; end < len(deflated); end += 1 + len(deflated)/50 {
+		_, err = inflateRules(deflated[:end])
+		must.Error(t, err, must.Sprint("cut text"))
+	}
 }
