Compare resumed ranges with the length that they promise

What callers saw: nothing that was reported; a download without a length that was resumed could end early and look complete. Cause: Content-Range was compared with the first answer only, not with the bytes that came. Change: the body of a range ends with an error unless it has that length. Evidence: TestResumedRangesAreOfTheLengthThatTheyPromise failed before, with 567 as the complete rest for 56789.

--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -310,12 +310,14 @@
 		grant.Done(pool.Report{Outcome: pool.Reset})
 		return false
 	}
-	if foreignError(a.responseInfo) != nil || !isContinuation(first, a.response, download.offset, etag) {
+	length, isContinuation := continuationLength(first, a.response, download.offset, etag)
+	if foreignError(a.responseInfo) != nil || !isContinuation {
 		_ = a.response.Body.Close()
 		a.cancel()
 		grant.Done(pool.Report{Outcome: pool.Canceled})
 		return false
 	}
+	a.response.Body = &rangeBody{ReadCloser: a.response.Body, left: length}
 	download.attempt = a
 	return true
 }
@@ -339,21 +341,3 @@
 	exchange.recordResponseInfo(a)
 	return a, nil
 }
-
-// isContinuation reports whether rest is exactly the remainder of the first response from offset on.
-func isContinuation(first, rest *http.Response, offset int64, etag string) bool {
-	if rest.StatusCode != http.StatusPartialContent || rest.Header.Get("ETag") != etag {
-		return false
-	}
-	if rest.Header.Get("Content-Encoding") != first.Header.Get("Content-Encoding") {
-		return false
-	}
-	var from, to, total int64
-	if _, err := fmt.Sscanf(rest.Header.Get("Content-Range"), "bytes %d-%d/%d", &from, &to, &total); err != nil {
-		return false
-	}
-	if from != offset || to != total-1 {
-		return false
-	}
-	return first.ContentLength < 0 || first.ContentLength == total
-}
