Reset the connections of HTTP/1.0 callers whose answers break off

What callers saw: a caller of HTTP/1.0 got a part of an answer without a length as a complete one when its server broke off. Cause: HTTP/1.0 has no chunks, so such an answer ends with the connection, and a broken one was broken off by closing it. Change: the connection is reset instead. The listener of callers' connections remembers the TCP connection below netutil's.

--- a/adapters/caller/http/connections.go
+++ b/adapters/caller/http/connections.go
@@ -64,30 +64,52 @@
 func (connections *Connections) Listen(from net.Listener) net.Listener {
 	connections.once.Do(connections.init)
 	spare := max(1, int(spareShare*float64(connections.Limit)))
-	listener := &connectionsListener{Listener: netutil.LimitListener(from, connections.Limit+spare), connections: connections}
+	accepting := &acceptingListener{Listener: from}
+	listener := &connectionsListener{Listener: netutil.LimitListener(accepting, connections.Limit+spare), accepting: accepting, connections: connections}
 	if connections.Depth > 1 {
 		return newLaneListener(listener)
 	}
 	return listener
 }
 
-type connectionsListener struct {
+// acceptingListener remembers the connection that it accepted last, as netutil's listener hides its type. It is not safe for concurrent use.
+type acceptingListener struct {
 	net.Listener
-	connections *Connections
+	last net.Conn
+}
+
+// Accept waits for the next connection.
+func (acceptingListener *acceptingListener) Accept() (net.Conn, error) {
+	conn, err := acceptingListener.Listener.Accept()
+	acceptingListener.last = conn
+	return conn, err
+}
+
+type connectionsListener struct {
+	net.Listener // limits the connections of accepting
+	connections  *Connections
+
+	mu        sync.Mutex
+	accepting *acceptingListener
 }
 
 // Accept waits for the next connection.
 func (connectionsListener *connectionsListener) Accept() (net.Conn, error) {
+	connectionsListener.mu.Lock()
+	defer connectionsListener.mu.Unlock()
 	conn, err := connectionsListener.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return connectionsListener.connections.open(conn), nil
+	opened := connectionsListener.connections.open(conn)
+	opened.tcp, _ = connectionsListener.accepting.last.(*net.TCPConn)
+	return opened, nil
 }
 
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
+	tcp         *net.TCPConn // below Conn, nil if the listener has other connections
 	connections *Connections
 	ahead       readAhead
 	cancel      context.CancelFunc // of the context of its requests
@@ -161,6 +183,14 @@
 	return err
 }
 
+// resetOnClose has Close reset the connection and drop what has not been sent.
+func (callerConn *callerConn) resetOnClose() {
+	if callerConn != nil && callerConn.tcp != nil {
+		// A connection that is closed already needs no reset.
+		_ = callerConn.tcp.SetLinger(0)
+	}
+}
+
 // readAhead has the connection read while its request is in progress, whose body may not be read for long.
 func (callerConn *callerConn) readAhead() {
 	if callerConn != nil {
--- a/adapters/caller/http/forward.go
+++ b/adapters/caller/http/forward.go
@@ -66,8 +66,7 @@
 	err := download.run()
 	if err != nil {
 		exchange.logAborted(download.attempt, err)
-		// Aborting the connection lets the caller detect that the response is incomplete.
-		panic(http.ErrAbortHandler)
+		exchange.breakOff()
 	}
 	copyTrailers(exchange.w.Header(), download.attempt.response)
 }
@@ -86,10 +85,19 @@
 	exchange.w.WriteHeader(a.response.StatusCode)
 	if err := exchange.newDownload(a).copy(); err != nil {
 		exchange.logAborted(a, err)
-		panic(http.ErrAbortHandler)
+		exchange.breakOff()
 	}
 }
 
+// breakOff ends the exchange and the caller's connection, so that the caller detects that the response is incomplete. A caller of HTTP/1.0 knows no
+// chunks: it takes the end of the connection for that of the response, unless it is a reset.
+func (exchange *exchange) breakOff() {
+	if !exchange.r.ProtoAtLeast(1, 1) {
+		connectionOf(exchange.r).resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func announceTrailers(header http.Header, response *http.Response) {
 	for name := range response.Trailer {
 		header.Add("Trailer", name)
