Split the scanner of heads by the lines that it reads

Cause: one function read status lines, fields and the end of a head. Change: a function for each; the behaviour is as before. Result: the tests of core/answer and adapters/answer/http pass.

--- a/core/answer/scanner.go
+++ b/core/answer/scanner.go
@@ -61,36 +61,33 @@
 func (scanner *Scanner) readLine(line string) error {
 	switch {
 	case scanner.state == statusLine:
-		head, err := parseStatusLine(line)
-		if err != nil {
-			return &Error{Op: "head", Kind: KindStatusLine, Err: err}
-		}
-		scanner.state, scanner.head = fields, head
-		return nil
+		return scanner.begin(line)
 	case line == "":
-		if err := scanner.head.checkFraming(); err != nil {
-			return &Error{Op: "head", Kind: KindFraming, Err: err}
-		}
-		scanner.state = idle
-		if scanner.head.status < firstFinalStatus {
-			scanner.state = statusLine
-		}
-		scanner.line = nil
-		return nil
-	}
-	name, value, found := strings.Cut(line, ":")
-	switch {
-	case line[0] == ' ' || line[0] == '\t':
-		return &Error{Op: "head", Kind: KindField, Err: fmt.Errorf("line begins with a blank: %s", quote(line))}
-	case !found:
-		return &Error{Op: "head", Kind: KindField, Err: fmt.Errorf("line without a colon: %s", quote(line))}
+		return scanner.end()
+	default:
+		return scanner.head.readField(line)
 	}
-	if err := checkField(name, value); err != nil {
-		return &Error{Op: "head", Kind: KindField, Err: err}
+}
+
+// begin reads the status line of a head.
+func (scanner *Scanner) begin(line string) error {
+	head, err := parseStatusLine(line)
+	if err != nil {
+		return &Error{Op: "head", Kind: KindStatusLine, Err: err}
 	}
-	if err := scanner.head.addField(name, value); err != nil {
+	scanner.state, scanner.head = fields, head
+	return nil
+}
+
+// end ends a head. After that of an interim answer comes another one.
+func (scanner *Scanner) end() error {
+	if err := scanner.head.checkFraming(); err != nil {
 		return &Error{Op: "head", Kind: KindFraming, Err: err}
 	}
+	scanner.state, scanner.line = idle, nil
+	if scanner.head.status < firstFinalStatus {
+		scanner.state = statusLine
+	}
 	return nil
 }
 
@@ -117,6 +114,25 @@
 	return text != "" && strings.Trim(text, "0123456789") == ""
 }
 
+// readField reads a line with a field.
+func (head *head) readField(line string) error {
+	name, value, found := strings.Cut(line, ":")
+	err := checkField(name, value)
+	switch {
+	case line[0] == ' ' || line[0] == '\t':
+		err = fmt.Errorf("line begins with a blank: %s", quote(line))
+	case !found:
+		err = fmt.Errorf("line without a colon: %s", quote(line))
+	}
+	if err != nil {
+		return &Error{Op: "head", Kind: KindField, Err: err}
+	}
+	if err := head.addField(name, value); err != nil {
+		return &Error{Op: "head", Kind: KindFraming, Err: err}
+	}
+	return nil
+}
+
 // addField records a field that frames the body.
 func (head *head) addField(name, value string) error {
 	switch {
