Test an announced trailer whose name has a blank

Cause: the check of announced trailers had no test. Change: a case of the answers that HTTP does not allow, for all who read them.

--- a/testing/raw/raw.go
+++ b/testing/raw/raw.go
@@ -71,6 +71,7 @@
 		"blank in a name of an interim":  "HTTP/1.1 103 Early Hints\r\nFurther name: x\r\n\r\n" + head + sized,
 		"transfer coding of an interim":  "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + head + sized,
 		"two lengths":                    head + "Content-Length: 1\r\n" + sized,
+		"blank in an announced trailer":  head + "Trailer: Further name\r\nTransfer-Encoding: chunked\r\n" + chunks,
 		"blank in the name of a trailer": head + "Transfer-Encoding: chunked\r\n" + fmt.Sprintf("\r\n%x\r\n%s\r\n0\r\nFurther name: x\r\n\r\n", len(body), body),
 		"length as a trailer":            head + "Transfer-Encoding: chunked\r\n" + fmt.Sprintf("\r\n%x\r\n%s\r\n0\r\nContent-Length: 5\r\n\r\n", len(body), body),
 	}
