Have the zero value of the heads' scanner await the answer

Cause: each request has a scanner of its own, so that its idle state and Expect were never used but once, right after it was made; a comment said that all errors of responses are of package answer, those of lost connections are not. Change: the zero value awaits the status line; Expect is gone.

--- a/adapters/answer/http/conn.go
+++ b/adapters/answer/http/conn.go
@@ -27,7 +27,6 @@
 // expect records that the next bytes are the answer to a request. It returns the scanner that judges them.
 func (conn *conn) expect() *answer.Scanner {
 	scanner := &answer.Scanner{}
-	scanner.Expect()
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	conn.scanner = scanner
--- a/adapters/answer/http/http.go
+++ b/adapters/answer/http/http.go
@@ -64,7 +64,7 @@
 	errUnexpected = errors.New("response was sent before its request")
 )
 
-// RoundTrip sends a request and returns its response. Its errors of responses wrap an *answer.Error.
+// RoundTrip sends a request and returns its response. The error of an invalid head wraps an *answer.Error.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	transport.once.Do(transport.init)
 	if request.URL.Scheme != "http" {
--- a/core/answer/answer_test.go
+++ b/core/answer/answer_test.go
@@ -16,7 +16,6 @@
 // scan reads text by a scanner, in parts of a number of bytes.
 func scan(text string, part int) (*Scanner, error) {
 	scanner := &Scanner{}
-	scanner.Expect()
 	for len(text) > 0 {
 		n := min(part, len(text))
 		if err := scanner.Read([]byte(text[:n])); err != nil {
@@ -143,7 +142,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		scanner := &Scanner{}
-		scanner.Expect()
 		if err := scanner.Read(text); err != nil {
 			b.Fatal(err)
 		}
--- a/core/answer/scanner.go
+++ b/core/answer/scanner.go
@@ -8,7 +8,7 @@
 	"strings"
 )
 
-// Scanner judges the heads of the answers on a connection as a client reads them. The zero value awaits no answer.
+// Scanner judges the head of the answer to a request, and those of the interim answers before it, as a client reads them. The zero value awaits the first.
 type Scanner struct {
 	state state
 	line  []byte // of the current line so far
@@ -19,9 +19,9 @@
 type state int
 
 const (
-	idle       state = iota // no answer is awaited, or the body of one is read
-	statusLine              // of an interim or the final head
+	statusLine state = iota // of an interim or the final head
 	fields
+	complete // the final head has been read
 )
 
 // head is what is known of the head that is read, or was read last.
@@ -31,21 +31,18 @@
 	framing     Framing
 }
 
-// Expect records that the next bytes are the answer to a request that is about to be written.
-func (scanner *Scanner) Expect() { *scanner = Scanner{state: statusLine} }
-
 // Framing returns the framing of the final head. It returns false if that head has not been read.
 func (scanner *Scanner) Framing() (Framing, bool) {
-	return scanner.head.framing, scanner.state == idle && scanner.head.status >= firstFinalStatus
+	return scanner.head.framing, scanner.state == complete
 }
 
 // Read judges bytes that the client is about to receive. It returns an *Error if they break a rule; the client must not receive them then.
 func (scanner *Scanner) Read(p []byte) error {
-	for scanner.state != idle && len(p) > 0 {
-		part, rest, complete := bytes.Cut(p, []byte{'\n'})
+	for scanner.state != complete && len(p) > 0 {
+		part, rest, found := bytes.Cut(p, []byte{'\n'})
 		p = rest
 		scanner.line = append(scanner.line, part...)
-		if !complete {
+		if !found {
 			return nil
 		}
 		// A line may end without a carriage return (RFC 9112, section 2.2).
@@ -84,7 +81,7 @@
 	if err := scanner.head.checkFraming(); err != nil {
 		return &Error{Op: "head", Kind: KindFraming, Err: err}
 	}
-	scanner.state, scanner.line = idle, nil
+	scanner.state, scanner.line = complete, nil
 	if scanner.head.status < firstFinalStatus {
 		scanner.state = statusLine
 	}
